--- /dev/null
+++ b/crates/wirehost/src/instance.rs
@@ -0,0 +1,229 @@
+//! One router: its module, its ids, and the lines that its actions become.
+
+use crate::line::Line;
+use crate::names;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use std::collections::HashMap;
+use std::io::Write;
+use yewpier::ids::Ids;
+use yewpier::{Actions, Balance, End, Events, Listing, Micros, Node, Phase};
+
+/// One line of a numbered list: node, zone, cell, phase, scale and start.
+pub type Row = (String, usize, usize, Phase, f64, Micros);
+
+pub struct Instance {
+    name: String,
+    router: Balance,
+    ops: Ids<u64>,
+    nodes: Ids<String>,
+    /// The retrieval of each query number, and by retrieval its number and parts.
+    queries: HashMap<u64, usize>,
+    members: Vec<(u64, Vec<usize>)>,
+}
+
+/// What a batch's events made the module do, as lines of the reply.
+struct Reply<'a> {
+    name: &'a str,
+    ops: &'a Ids<u64>,
+    nodes: &'a Ids<String>,
+    over: Vec<usize>,
+    out: &'a mut Vec<u8>,
+}
+
+impl Reply<'_> {
+    fn line(&mut self, message: &str, fields: std::fmt::Arguments) {
+        let _ = writeln!(self.out, "{message}\trouter={}{fields}", self.name);
+    }
+
+    fn on_op(&mut self, message: &str, op: usize, fields: std::fmt::Arguments) {
+        if let Some(&id) = self.ops.key(op) {
+            self.line(message, format_args!("\topId={id}{fields}"));
+        }
+    }
+
+    fn on_node(&mut self, message: &str, node: Node) {
+        if let Some(id) = self.nodes.key(node) {
+            self.line(message, format_args!("\tnode={id}"));
+        }
+    }
+}
+
+impl Actions for Reply<'_> {
+    fn send(&mut self, part: usize, node: Node, allow: Micros) {
+        if let Some(id) = self.nodes.key(node) {
+            self.on_op("FORWARD", part, format_args!("\tnode={id}\tallowForNs={}", allow * 1000));
+        }
+    }
+    fn withdraw(&mut self, part: usize, trial: usize) {
+        self.on_op("RETRACT", part, format_args!("\ttrial={trial}"));
+    }
+    fn finish(&mut self, retrieval: usize, end: End) {
+        match end {
+            End::Whole => self.on_op("GATHER_UP", retrieval, format_args!("\ton=1")),
+            End::Part => self.on_op("GATHER_UP", retrieval, format_args!("\ton=0")),
+            End::Deferred(wait) => {
+                self.on_op("SAY_NO", retrieval, format_args!("\tstayAwayNs={}", wait * 1000))
+            }
+            End::GivenUp => self.on_op("REPORT_FAILURE", retrieval, format_args!("")),
+        }
+    }
+    fn forget(&mut self, retrieval: usize) {
+        self.over.push(retrieval);
+    }
+    fn set_timer(&mut self, wait: Micros, token: u64) {
+        self.line("NOTIFY_ME", format_args!("\twaitNs={}\tcookie={token}", wait * 1000));
+    }
+    fn probe(&mut self, node: Node) {
+        self.on_node("SAMPLE", node);
+    }
+    fn let_go(&mut self, node: Node) {
+        self.on_node("LET_GO", node);
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.line("KEEP_INFORMED", format_args!("\ton={}", on as u8));
+    }
+    fn reload(&mut self) {
+        self.line("RELOAD", format_args!(""));
+    }
+    fn tell(&mut self, peer: Option<usize>, data: &[u8]) {
+        let to = peer.map_or("all".to_string(), |p| p.to_string());
+        let data = if data.is_empty() { "-".to_string() } else { BASE64.encode(data) };
+        self.line("MEMO_TO", format_args!("\tdest={to}\tdata={data}"));
+    }
+    fn log(&mut self, text: &str) {
+        self.line("JOURNAL_LINE", format_args!("\treasonText={text}"));
+    }
+}
+
+/// Calls `$call` on the module with a reply in hand, then gives back the ids it is done with.
+macro_rules! with_reply {
+    ($self:ident, $out:expr, $call:ident($($arg:expr),*)) => {{
+        let (ops, nodes) = (&$self.ops, &$self.nodes);
+        let mut reply = Reply { name: &$self.name, ops, nodes, over: Vec::new(), out: $out };
+        $self.router.$call($($arg,)* &mut reply);
+        let over = reply.over;
+        over.into_iter().for_each(|retrieval| $self.release(retrieval));
+    }};
+}
+
+impl Instance {
+    pub fn new(name: &str, line: &Line) -> Result<Self, String> {
+        let seed = line.need::<i128>("nonce64")? as u64;
+        let settings = names::settings(line.text("bootInfo")?).map_err(|e| line.wrong("bootInfo", &e))?;
+        Ok(Instance {
+            name: name.to_string(),
+            router: Balance::new(seed, settings),
+            ops: Ids::default(),
+            nodes: Ids::default(),
+            queries: HashMap::new(),
+            members: Vec::new(),
+        })
+    }
+
+    fn release(&mut self, retrieval: usize) {
+        if let Some((query, parts)) = self.members.get_mut(retrieval).map(std::mem::take) {
+            self.queries.remove(&query);
+            parts.into_iter().for_each(|part| self.ops.release(part));
+            self.ops.release(retrieval);
+        }
+    }
+
+    pub fn members(&mut self, now: Micros, how: Listing, rows: &[Row], out: &mut Vec<u8>) {
+        self.router.list_begins(now, how);
+        for (node, zone, cell, phase, scale, up_since) in rows {
+            let node = self.nodes.take(node.clone());
+            self.router.listed(now, node, *zone, *cell, *phase, *scale, *up_since);
+        }
+        with_reply!(self, out, list_ends(now));
+    }
+
+    pub fn settle(&mut self, now: Micros, out: &mut Vec<u8>) {
+        with_reply!(self, out, settle(now));
+    }
+
+    /// Every event that names an instance and needs no list.
+    pub fn event(&mut self, now: Micros, line: &Line) -> Result<(), String> {
+        match line.message {
+            "ACCEPT" => self.accept(now, line)?,
+            "VERDICT" => {
+                let (trial, lag) = (line.need("trial")?, line.micros("lagNs")?);
+                let outcome = line.code("disposition", names::outcome)?;
+                let load = self.gauge(line)?;
+                let (op, node): (u64, &str) = (line.need("opId")?, line.text("node")?);
+                line.flag("complete")?;
+                if let (Some(part), Some(node)) = (self.ops.find(&op), self.nodes.find(&node.to_string())) {
+                    self.router.outcome(now, part, trial, node, outcome, lag, &load);
+                }
+            }
+            "STARTED" => {
+                let (trial, lag, node) = (line.need("trial")?, line.micros("lagNs")?, line.text("node")?);
+                let op: u64 = line.need("opId")?;
+                if let (Some(part), Some(node)) = (self.ops.find(&op), self.nodes.find(&node.to_string())) {
+                    self.router.started(now, part, trial, node, lag);
+                }
+            }
+            "CANCELLED_BY_CLIENT" => {
+                if let Some(op) = self.ops.find(&line.need("opId")?) {
+                    self.router.client_left(now, op);
+                }
+            }
+            "TICK_DUE" => self.router.timer(now, line.need("cookie")?),
+            "STATUS_BACK" => {
+                let outcome = line.code("disposition", names::outcome)?;
+                let (lag, load) = (line.micros("lagNs")?, self.gauge(line)?);
+                if let Some(node) = self.nodes.find(&line.text("node")?.to_string()) {
+                    self.router.probed(now, node, outcome, lag, &load);
+                }
+            }
+            "DATAGRAM" => {
+                let data = match line.text("data")? {
+                    "-" => Vec::new(),
+                    text => BASE64.decode(text).map_err(|_| line.wrong("data", "it is not base64"))?,
+                };
+                self.router.told(now, line.need("by")?, &data);
+            }
+            _ => return Err(format!("line {}: {}: unknown message", line.number, line.message)),
+        }
+        Ok(())
+    }
+
+    fn gauge<'a>(&self, line: &Line<'a>) -> Result<Vec<(&'a str, f64)>, String> {
+        let text = line.maybe("gauge").unwrap_or("");
+        names::load(text).ok_or_else(|| line.wrong("gauge", &format!("'{text}' is not pairs of name:number")))
+    }
+
+    fn accept(&mut self, now: Micros, line: &Line) -> Result<(), String> {
+        let id: u64 = line.need("opId")?;
+        let (grade, tenant) = (line.need("lane")?, line.or("org", 0)?);
+        let until = line.micros("validUntilNs")?;
+        let (work, query) = (line.micros_or_zero("sizeHintNs")?, line.need::<u64>("query")?);
+        let (shard, weight) = (line.need::<i64>("shard")?, line.number("heft")?);
+        let again = line.flag("retry")?;
+        line.flag("mutates")?;
+        if let Ok(shard) = usize::try_from(shard) {
+            let Some(&retrieval) = self.queries.get(&query) else { return Ok(()) };
+            let part = self.ops.take(id);
+            self.members[retrieval].1.push(part);
+            self.router.part(now, retrieval, part, shard, weight, work);
+        } else {
+            let retrieval = self.ops.take(id);
+            if self.members.len() <= retrieval {
+                self.members.resize_with(retrieval + 1, Default::default);
+            }
+            self.members[retrieval] = (query, Vec::new());
+            self.queries.insert(query, retrieval);
+            self.router.retrieval(
+                now,
+                retrieval,
+                grade,
+                tenant,
+                until,
+                work,
+                weight.max(0.0) as usize,
+                again,
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/names.rs
@@ -0,0 +1,225 @@
+//! The wire's names for settings and codes, and ours. Paths with `#` stand for a place in a list.
+
+use serde_json::Value as Json;
+use yewpier::{Listing, Outcome, Phase, Settings, Value};
+
+const SETTINGS: &[(&str, &str)] = &[
+    ("ceilings.cancelling", "limits.withdraw"),
+    ("ceilings.connectTimeoutNs", "limits.connect_us"),
+    ("ceilings.cpuUsPerRequest", "limits.cpu_us_per_retrieval"),
+    ("ceilings.cpuUsPerS", "limits.cpu_us_per_s"),
+    ("ceilings.idleCloseNs", "limits.idle_us"),
+    ("ceilings.maxAttempts", "limits.shots"),
+    ("ceilings.maxRetryAfterNs", "limits.stay_away_us"),
+    ("ceilings.maxStreams", "limits.calls_per_connection"),
+    ("ceilings.openCap", "limits.held"),
+    ("ceilings.parallelTries", "limits.second_copies"),
+    ("ceilings.peers", "limits.peers"),
+    ("ceilings.probes", "limits.probes"),
+    ("ceilings.retryAfter", "limits.stay_away"),
+    ("clients.marksRetry", "clients.mark_repeats"),
+    ("countedBy", "importance_by"),
+    ("familyInfo.bundleMax", "calls.parts"),
+    ("familyInfo.callNs", "calls.work_us"),
+    ("familyInfo.floorByClass.#", "grade.#.floor"),
+    ("familyInfo.incompleteWorth.#", "grade.#.part_share"),
+    ("familyInfo.needByClass.#", "grade.#.need"),
+    ("familyInfo.secondStep.#", "grade.#.second_step"),
+    ("familyInfo.sets", "shards.cells"),
+    ("familyInfo.shards", "shards.count"),
+    ("familyInfo.warmKeys", "shards.warm_keys"),
+    ("familyInfo.width", "shards.width"),
+    ("instances", "routers"),
+    ("kinds.#", "kind.#.name"),
+    ("layers.#", "layer.#.name"),
+    ("obligations.answerSlackNs", "rules.answer_slack_us"),
+    ("obligations.askWithinNs", "rules.ask_within_us"),
+    ("obligations.budgetShare", "rules.further_share"),
+    ("obligations.coldFrom", "rules.cold_from"),
+    ("obligations.drainGraceNs", "rules.drain_grace_us"),
+    ("obligations.extraWindowNs", "rules.further_window_us"),
+    ("obligations.freeResends", "rules.further_free"),
+    ("obligations.tipAfterNs", "rules.tip_after_us"),
+    ("obligations.tipMultiple", "rules.tip_multiple"),
+    ("obligations.warmUpNs", "rules.warm_up_us"),
+    ("overShareWorth", "over_share_importance"),
+    ("prices.connection", "price.connection"),
+    ("prices.crossZone", "price.crossing"),
+    ("prices.fleet", "price.fleet"),
+    ("prices.handshake", "price.handshake"),
+    ("prices.lateFail", "price.late_give_up"),
+    ("prices.moves", "price.moves"),
+    ("prices.origin", "price.origin"),
+    ("prices.peer", "price.peer"),
+    ("prices.probe", "price.probe"),
+    ("prices.registryMode", "price.list"),
+    ("prices.waste", "price.waste"),
+    ("registryMode", "list.mode"),
+    ("report.columns.#", "report.#.name"),
+    ("report.how", "report.how"),
+    ("scoringMix.whole", "weight.whole"),
+    ("scoringMix.worstClass", "weight.worst_grade"),
+    ("scoringMix.worstTenant", "weight.worst_tenant"),
+    ("scoringMix.worstWindow", "weight.worst_window"),
+    ("serviceType", "service_type"),
+    ("services.#.aimStretch", "grade.#.agreed_stretch"),
+    ("services.#.deadlineNs", "grade.#.patience_us"),
+    ("services.#.dedupWindowNs", "grade.#.repeat_us"),
+    ("services.#.group", "grade.#.repeat_group"),
+    ("services.#.idempotency", "grade.#.effect"),
+    ("services.#.lateShare", "grade.#.late_share"),
+    ("services.#.name", "grade.#.name"),
+    ("services.#.streamed", "grade.#.streamed"),
+    ("services.#.targetNs", "grade.#.agreed_us"),
+    ("services.#.worth", "grade.#.importance"),
+    ("slotNo", "router"),
+    ("tenants.#.fraction", "tenant.#.share"),
+    ("tenants.#.name", "tenant.#.name"),
+    ("tenants.#.quotaRps", "tenant.#.per_s"),
+    ("tickNs", "tick_us"),
+    ("tier", "tier"),
+    ("weights", "list.scale"),
+    ("zone", "zone"),
+    ("zones.#", "zone.#.name"),
+];
+
+const WORDS: &[(&str, &str)] = &[
+    ("read_like", "pure"),
+    ("idempotency_key", "receipted"),
+    ("non_idempotent", "effectful"),
+    ("request", "retrieval"),
+    ("piggyback", "answers"),
+    ("pull", "probes"),
+    ("silent", "none"),
+    ("push", "told"),
+    ("ask", "asked"),
+    ("active", "held"),
+    ("waiting", "queued"),
+    ("cpu", "busy"),
+    ("avg_ms", "service_ms"),
+    ("rps", "finished_per_s"),
+    ("err_rps", "errors_per_s"),
+];
+
+fn ours(word: &str) -> &str {
+    WORDS.iter().find(|w| w.0 == word).map_or(word, |w| w.1)
+}
+
+fn leaf(path: &str, places: &[String], value: Value, to: &mut Settings) {
+    if let Ok(at) = SETTINGS.binary_search_by(|s| s.0.cmp(path)) {
+        let mut name = SETTINGS[at].1.to_string();
+        for place in places {
+            name = name.replacen('#', place, 1);
+        }
+        to.set(&name, value);
+    }
+}
+
+fn walk(json: &Json, path: &str, places: &mut Vec<String>, to: &mut Settings) {
+    let below = |step: &str| if path.is_empty() { step.to_string() } else { format!("{path}.{step}") };
+    match json {
+        Json::Object(map) => map.iter().for_each(|(key, value)| walk(value, &below(key), places, to)),
+        Json::Array(items) => {
+            for (i, item) in items.iter().enumerate() {
+                places.push(i.to_string());
+                walk(item, &below("#"), places, to);
+                places.pop();
+            }
+        }
+        Json::Bool(b) => leaf(path, places, Value::Flag(*b), to),
+        Json::String(s) => {
+            let word = if path.ends_with("name") { s } else { ours(s) };
+            leaf(path, places, Value::Text(word.to_string()), to)
+        }
+        Json::Number(n) => {
+            let n = n.as_f64().unwrap_or(0.0);
+            let n = if path.ends_with("Ns") { (n / 1000.0).floor() } else { n };
+            leaf(path, places, Value::Number(n), to)
+        }
+        Json::Null => {}
+    }
+}
+
+/// The wire's settings under our names, times in microseconds; what is unknown is left out.
+pub fn settings(text: &str) -> Result<Settings, String> {
+    let json: Json = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if !json.is_object() {
+        return Err("it is not an object".to_string());
+    }
+    let mut to = Settings::default();
+    walk(&json, "", &mut Vec::new(), &mut to);
+    Ok(to)
+}
+
+pub fn outcome(code: &str) -> Option<Outcome> {
+    Some(match code {
+        "Ok" => Outcome::Ok,
+        "Failed" => Outcome::Error,
+        "QueueFull" => Outcome::Full,
+        "TimedOut" => Outcome::Overdue,
+        "ConnectError" => Outcome::Unreachable,
+        "ResetByPeer" => Outcome::Broken,
+        "Canceled" => Outcome::Withdrawn,
+        "Ignored" => Outcome::Unsent,
+        _ => return None,
+    })
+}
+
+pub fn listing(code: &str) -> Option<Listing> {
+    Some(match code {
+        "diff" => Listing::Changes,
+        "snapshot" => Listing::Whole,
+        "disk" => Listing::Disk,
+        "error" => Listing::Failed,
+        _ => return None,
+    })
+}
+
+pub fn phase(code: &str) -> Option<Phase> {
+    Some(match code {
+        "ready" => Phase::Ready,
+        "draining" => Phase::Draining,
+        "gone" => Phase::Gone,
+        _ => return None,
+    })
+}
+
+/// A load report's pairs under our names.
+pub fn load(text: &str) -> Option<Vec<(&str, f64)>> {
+    text.split(',')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (name, value) = pair.split_once(':')?;
+            let value = value.parse().ok().filter(|v: &f64| v.is_finite())?;
+            Some((ours(name), value))
+        })
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_come_under_our_names_in_microseconds() {
+        let json = r#"{"tickNs": 5000000, "new": 1, "registryMode": "ask",
+            "services": [{"idempotency": "read_like", "targetNs": 1500}], "ceilings": {"probes": true}}"#;
+        let got = settings(json).expect("an object");
+        assert_eq!(got.number("tick_us"), Some(5000.0));
+        assert_eq!(got.number("grade.0.agreed_us"), Some(1.0));
+        assert_eq!((got.text("grade.0.effect"), got.text("list.mode")), ("pure", "asked"));
+        assert!(got.flag("limits.probes") && got.0.len() == 5);
+        assert!(settings("[1]").is_err() && settings("{").is_err());
+    }
+
+    #[test]
+    fn the_table_is_sorted_for_its_search() {
+        assert!(SETTINGS.is_sorted_by(|a, b| a.0 < b.0));
+    }
+
+    #[test]
+    fn load_reports_are_pairs_of_finite_numbers() {
+        assert_eq!(load("active:7,new:0.5"), Some(vec![("held", 7.0), ("new", 0.5)]));
+        assert!(load("active").is_none() && load("active:x").is_none() && load("cpu:inf").is_none());
+    }
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,765 @@
+//! The decisions of yewpier: one `Balance` decides for one router, alone, from its settings and its own events.
+//!
+//! A front calls the methods of `Events` for what came in at an instant, then `settle`, and carries out the
+//! `Actions` that it is handed; both traits are in `lib.rs`, the plain records in `state.rs`. In `settle`
+//! each retrieval runs down `CHAIN`, whose stages pass it on, keep it or end it; a shot's outcome runs the
+//! chain the other way: `learn` (choice of node), `free` (admission), `mark` (answer). `docs/design.md`
+//! says what is the design's and which departures act when.
+
+#[cfg(test)]
+mod tests;
+
+use crate::samples::Samples;
+use crate::state::{Effect, NodeState, Part, Retrieval, Shot};
+use crate::{Actions, End, Events, Listing, Micros, Node, Outcome, Phase, Settings};
+
+/// How long a sample speaks for the present.
+const RECENT: Micros = 10_000_000;
+/// How much care the choice of a node takes, from the most to the least; see `fits`.
+const NEAR: u8 = 4;
+const EVEN: u8 = 3;
+const SOUND: u8 = 2;
+const OPEN: u8 = 1;
+
+/// What a stage does with a retrieval.
+enum Step {
+    Pass,
+    Keep,
+    End(End),
+}
+
+type Stage = fn(&mut Balance, Micros, usize, &mut dyn Actions) -> Step;
+const CHAIN: [Stage; 5] =
+    [Balance::reduce, Balance::time_left, Balance::admit, Balance::place, Balance::further];
+
+pub struct Balance {
+    settings: Settings,
+    rng: fastrand::Rng,
+    nodes: Vec<NodeState>,
+    cells: Vec<Vec<Node>>,
+    retrievals: Vec<Option<Retrieval>>,
+    parts: Vec<Option<Part>>,
+    /// Retrievals without a final answer by arrival, and those ended that still have shots out.
+    open: Vec<usize>,
+    ended: Vec<usize>,
+    in_flight: usize,
+    bound: f64,
+    bound_moved: Micros,
+    /// A retrieval waits at the bound: those behind it wait too.
+    queue_stands: bool,
+    lags: Samples,
+    taken: Samples,
+    further: Samples,
+    turns: u64,
+    listing: Option<(Listing, Vec<Node>)>,
+    subscribed: bool,
+    ask_at: Micros,
+    ask_failures: u32,
+    timer_at: Option<Micros>,
+    all_suspect: bool,
+}
+
+impl Balance {
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        Balance {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            nodes: Vec::new(),
+            cells: Vec::new(),
+            retrievals: Vec::new(),
+            parts: Vec::new(),
+            open: Vec::new(),
+            ended: Vec::new(),
+            in_flight: 0,
+            bound: 0.0,
+            bound_moved: 0,
+            queue_stands: false,
+            lags: Samples::new(128),
+            taken: Samples::new(1 << 16),
+            further: Samples::new(1 << 12),
+            turns: 0,
+            listing: None,
+            subscribed: false,
+            ask_at: 0,
+            ask_failures: 0,
+            timer_at: None,
+            all_suspect: false,
+        }
+    }
+
+    fn number(&self, name: &str, absent: f64) -> f64 {
+        self.settings.number(name).unwrap_or(absent)
+    }
+
+    fn micros(&self, name: &str) -> Micros {
+        self.number(name, 0.0) as Micros
+    }
+
+    fn grade(&self, grade: usize, name: &str, absent: f64) -> f64 {
+        self.number(&format!("grade.{grade}.{name}"), absent)
+    }
+
+    fn effect(&self, grade: usize) -> Effect {
+        match self.settings.text(&format!("grade.{grade}.effect")) {
+            "pure" => Effect::Pure,
+            "receipted" => Effect::Receipted,
+            _ => Effect::Effectful,
+        }
+    }
+
+    fn part_of(&self, part: usize) -> &Part {
+        self.parts[part].as_ref().expect("a held part")
+    }
+
+    fn part_mut(&mut self, part: usize) -> &mut Part {
+        self.parts[part].as_mut().expect("a held part")
+    }
+
+    fn held(&self, retrieval: usize) -> &Retrieval {
+        self.retrievals[retrieval].as_ref().expect("a held retrieval")
+    }
+
+    fn held_mut(&mut self, retrieval: usize) -> &mut Retrieval {
+        self.retrievals[retrieval].as_mut().expect("a held retrieval")
+    }
+
+    /// Answers are sent this long before a limit, since the router acts on ticks.
+    fn margin(&self) -> Micros {
+        2 * self.micros("tick_us") + 2_000
+    }
+
+    // ---- the way out: the stages of the chain ----
+
+    /// Answers when the parts are in that make it whole; ends what no longer can be.
+    fn reduce(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
+        let held = self.held(r);
+        let (grade, step) = (held.grade, held.step);
+        let parts = held.parts[step..].to_vec();
+        if parts.is_empty() {
+            return Step::Keep;
+        }
+        let last = step > 0 || self.grade(grade, "second_step", 0.0) < 1.0;
+        let need = if step > 0 { 1.0 } else { self.grade(grade, "need", 1.0) };
+        let floor = self.grade(grade, "floor", 1.0).min(need);
+        let floor = if step > 0 && self.grade(grade, "need", 1.0) <= floor { 1.0 } else { floor };
+        let (mut inside, mut possible, mut waiting) = (0.0, 0.0, false);
+        for &p in &parts {
+            let part = self.part_of(p);
+            if part.done {
+                inside += part.weight;
+            }
+            if !part.lost {
+                possible += part.weight;
+            }
+            waiting |= !part.done && !part.lost;
+            if part.done && part.out > 0 {
+                self.withdraw(p, acts);
+            }
+        }
+        let all = parts.iter().all(|&p| self.part_of(p).done);
+        let whole = all || (need < 1.0 && inside >= need);
+        let end = if whole && (step == 0 || self.held(r).first_whole) {
+            End::Whole
+        } else if inside >= floor && (whole || !waiting || self.pays_now(now, r, inside / need)) {
+            End::Part
+        } else if possible + 1e-5 < floor {
+            return self.doom(r);
+        } else {
+            return Step::Pass;
+        };
+        if last {
+            return Step::End(end);
+        }
+        // The first answer brings the second step's parts.
+        let held = self.held_mut(r);
+        (held.step, held.first_whole) = (held.parts.len(), end == End::Whole);
+        acts.finish(r, end);
+        Step::Keep
+    }
+
+    /// Departure: where a floor allows it, the agreed time's end is worth an answer from part.
+    fn pays_now(&self, now: Micros, r: usize, share: f64) -> bool {
+        let held = self.held(r);
+        let late = self.grade(held.grade, "late_share", 0.0);
+        let pays = self.grade(held.grade, "part_share", 0.0) * share > late;
+        now >= held.until - self.margin() || (pays && now >= held.agreed - self.margin())
+    }
+
+    /// The end of a retrieval that cannot be answered: deferred only if asking again is harmless.
+    fn doom(&self, r: usize) -> Step {
+        let held = self.held(r);
+        let ran = held.parts.iter().any(|&p| self.part_of(p).may_have_run.is_some());
+        let harmless = !ran || self.effect(held.grade) == Effect::Pure;
+        Step::End(if harmless { End::Deferred(0) } else { End::GivenUp })
+    }
+
+    /// Ends what ran out of time: unsent work that can no longer be in time, sent work that pays no more.
+    fn time_left(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
+        let held = self.held(r);
+        let late = self.grade(held.grade, "late_share", 0.0);
+        let over = match held.admitted {
+            None => now + self.usual_lag(now, 0.5).unwrap_or(0) > held.agreed - self.margin(),
+            Some(_) => late <= 0.0 && now >= held.agreed,
+        };
+        if over || now >= held.until - self.margin() { self.doom(r) } else { Step::Pass }
+    }
+
+    /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
+    fn admit(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
+        let held = self.held(r);
+        if held.admitted.is_some() {
+            return Step::Pass;
+        }
+        let (parts, floor) = (held.parts.clone(), self.grade(held.grade, "floor", 1.0));
+        let full = self.in_flight > 0 && (self.in_flight + parts.len()) as f64 > self.bound;
+        self.queue_stands |= full;
+        if self.queue_stands {
+            return Step::Keep;
+        }
+        let plan = self.plan(now, &parts);
+        let sure: f64 = plan.iter().map(|&(p, _)| self.part_of(p).weight).sum();
+        // Departure: a shard without a sound holder does not hold up what its floor lets go without it.
+        if plan.len() < parts.len() && (floor >= 1.0 || sure < floor) {
+            return Step::Keep;
+        }
+        self.held_mut(r).admitted = Some(now);
+        Step::Pass
+    }
+
+    /// Sends the parts that have not been sent.
+    fn place(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
+        let held = self.held(r);
+        let unsent: Vec<usize> = held.parts[held.step..]
+            .iter()
+            .copied()
+            .filter(|&p| self.part_of(p).shots.is_empty() && !self.part_of(p).lost)
+            .collect();
+        for (part, node) in self.plan(now, &unsent) {
+            self.send(now, part, node, acts);
+        }
+        Step::Pass
+    }
+
+    /// Further shots: another try for a part whose shots are over, a second copy for an overdue one.
+    fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
+        let held = self.held(r);
+        let (grade, agreed) = (held.grade, held.agreed);
+        let patience = self.limit(now, grade);
+        for p in held.parts[held.step..].to_vec() {
+            let part = self.part_of(p);
+            if part.done || part.lost || part.shots.is_empty() {
+                continue;
+            }
+            let last = *part.shots.last().expect("a shot");
+            let late = now - part.sent_at > patience || self.nodes[last].barred_until > now;
+            let copy = part.out > 0;
+            if copy && !(late && part.out < 2 && self.settings.flag("limits.second_copies")) {
+                continue;
+            }
+            if part.shots.len() >= self.number("limits.shots", 1.0) as usize
+                || !self.may_run_again(now, p, grade, copy)
+            {
+                let lost = !copy;
+                self.part_mut(p).lost |= lost;
+                continue;
+            }
+            let in_time = now + self.usual_lag(now, 0.5).unwrap_or(0) < agreed;
+            if !in_time || !self.within_budget(now, copy) {
+                continue;
+            }
+            if let Some((node, care)) = self.pick(now, &[p], &[]) {
+                let fresh = !self.part_of(p).shots.contains(&node);
+                if care >= SOUND && fresh || !copy && care >= OPEN {
+                    self.further.push(now, 1.0);
+                    self.send(now, p, node, acts);
+                }
+            }
+        }
+        Step::Pass
+    }
+
+    // ---- choice of node ----
+
+    /// Nodes for the parts, by turns, parts that can share a call together; parts without one are left out.
+    fn plan(&self, now: Micros, parts: &[usize]) -> Vec<(usize, Node)> {
+        let most = self.number("calls.parts", 1.0).max(1.0) as usize;
+        let (mut left, mut plan) = (parts.to_vec(), Vec::new());
+        while !left.is_empty() {
+            let Some((node, _)) = self.pick(now, &left, &plan).filter(|&(_, care)| care >= OPEN) else {
+                left.remove(0);
+                continue;
+            };
+            let mut room = most;
+            left.retain(|&p| {
+                let goes = room > 0 && self.holds(node, self.part_of(p).shard);
+                room -= goes as usize;
+                if goes {
+                    plan.push((p, node));
+                }
+                !goes
+            });
+        }
+        plan
+    }
+
+    /// The node for the first of `left`: with the most care that any holder meets, the one whose call can
+    /// carry most parts, and among those the one whose turn is longest ago.
+    fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)]) -> Option<(Node, u8)> {
+        let part = self.part_of(left[0]);
+        let most = self.number("calls.parts", 1.0).max(1.0) as usize;
+        let holders = self.holders(part.shard);
+        let grade = self.held(part.retrieval).grade;
+        let rest: Vec<Node> = holders.iter().copied().filter(|n| !part.shots.contains(n)).collect();
+        let holders = if rest.is_empty() { holders } else { rest };
+        let planned = |n: Node| plan.iter().filter(|x| x.1 == n).count();
+        let finish = |n: Node| self.pace(now, n) * (1.0 + (self.nodes[n].out.len() + planned(n)) as f64);
+        let sound: Vec<Node> = holders.iter().copied().filter(|&n| self.fits(now, n, SOUND, grade)).collect();
+        let usual = self.usual_lag(now, 0.5).unwrap_or(0) as f64;
+        let best = sound.iter().map(|&n| finish(n)).fold(f64::INFINITY, f64::min);
+        (0..=NEAR).rev().find_map(|care| {
+            holders
+                .iter()
+                .copied()
+                .filter(|&n| self.cold_room(now, n, planned(n) + 1, grade))
+                .filter(|&n| self.fits(now, n, care.min(SOUND), grade))
+                .filter(|&n| care < EVEN || finish(n) <= 2.0 * best + usual)
+                .filter(|&n| care < NEAR || self.nodes[n].zone == self.micros("zone") as usize)
+                .min_by_key(|&n| {
+                    let shared = left.iter().filter(|&&p| self.holds(n, self.part_of(p).shard)).count();
+                    (std::cmp::Reverse(shared.min(most)), self.nodes[n].turn)
+                })
+                .map(|n| (n, care))
+        })
+    }
+
+    /// Whether a node is good enough: `SOUND` nothing overdue and not being tried again already, `OPEN` not
+    /// barred; 0 anyone listed as ready.
+    fn fits(&self, now: Micros, n: Node, care: u8, grade: usize) -> bool {
+        let node = &self.nodes[n];
+        if !node.ready || (care >= OPEN && node.barred_until > now && !self.all_suspect) {
+            return false;
+        }
+        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(now, grade));
+        // An effectful part cannot be helped by another shot, so its first choice must be proven.
+        let doubt = node.strikes > 0 && (!node.out.is_empty() || self.effect(grade) == Effect::Effectful);
+        care < SOUND || !(overdue || doubt)
+    }
+
+    fn holders(&self, shard: usize) -> Vec<Node> {
+        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
+        let width = self.number("shards.width", 1.0) as usize;
+        let at = |j| self.cells.get((shard + j) % cells).map_or(&[][..], Vec::as_slice);
+        (0..width.min(cells)).flat_map(|j| at(j).iter().copied()).filter(|&n| self.nodes[n].ready).collect()
+    }
+
+    fn holds(&self, n: Node, shard: usize) -> bool {
+        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
+        let width = self.number("shards.width", 1.0) as usize;
+        (self.nodes[n].cell + cells - shard % cells) % cells < width
+    }
+
+    /// What a shot takes at a node: its own recent lags, a shot still out for longer, else the usual.
+    fn pace(&self, now: Micros, n: Node) -> f64 {
+        let node = &self.nodes[n];
+        let lag = node.lags.quantile(0.5, now - RECENT / 2).or(self.lags.quantile(0.5, now - RECENT));
+        let age = node.oldest_out().map_or(0, |at| now - at) as f64;
+        lag.unwrap_or(1.0).max(age)
+    }
+
+    fn usual_lag(&self, now: Micros, q: f64) -> Option<Micros> {
+        let known = self.lags.count(now - RECENT) >= 16;
+        known.then(|| self.lags.quantile(q, now - RECENT).unwrap_or(0.0) as Micros)
+    }
+
+    /// How long a shot may be out before it is overdue: the agreed time until lags are learned.
+    fn limit(&self, now: Micros, grade: usize) -> Micros {
+        let agreed = self.grade(grade, "agreed_us", 1e6) as Micros;
+        self.usual_lag(now, 0.9).map_or(agreed, |lag| agreed.min(2 * lag))
+    }
+
+    /// This router's share of what a cold node can take in the rule's window, all its sends counted.
+    fn cold_room(&self, now: Micros, n: Node, parts: usize, grade: usize) -> bool {
+        let node = &self.nodes[n];
+        let warm_up = self.micros("rules.warm_up_us");
+        if node.up_since <= 0 || now - node.up_since >= warm_up {
+            return true;
+        }
+        let window = self.micros("rules.tip_after_us");
+        let cold = self.number("rules.cold_from", 1.0);
+        let age = (now - window - node.up_since).max(0) as f64;
+        let capacity = cold + (1.0 - cold) * age / warm_up as f64;
+        // Cores are told nowhere: one is the least a node has.
+        let room = self.number("rules.tip_multiple", 1.0).min(2.0) * capacity * window as f64
+            / self.number("routers", 1.0);
+        let work = parts as f64 * self.part_work(now, grade) + self.number("calls.work_us", 0.0);
+        node.sent.sum(now - window) + work <= room
+    }
+
+    /// Work of a part is not told: a low lag is near it, a tenth of the agreed time until one is learned.
+    fn part_work(&self, now: Micros, grade: usize) -> f64 {
+        self.usual_lag(now, 0.3).map_or(self.grade(grade, "agreed_us", 1e6) / 10.0, |lag| lag as f64)
+    }
+
+    // ---- shots ----
+
+    fn send(&mut self, now: Micros, part: usize, node: Node, acts: &mut dyn Actions) {
+        let grade = self.held(self.part_of(part).retrieval).grade;
+        let mut work = self.part_work(now, grade);
+        if self.nodes[node].out.last().is_none_or(|s| s.at < now) {
+            work += self.number("calls.work_us", 0.0);
+            self.turns += 1;
+        }
+        let turn = self.turns;
+        let to = &mut self.nodes[node];
+        to.turn = turn;
+        to.sent.push(now, work);
+        let held = self.part_mut(part);
+        let trial = held.shots.len();
+        held.shots.push(node);
+        held.out += 1;
+        held.sent_at = now;
+        held.may_have_run.get_or_insert(now);
+        self.nodes[node].out.push(Shot { part, trial, at: now });
+        self.in_flight += 1;
+        acts.send(part, node, 0);
+    }
+
+    /// Withdraws the shots of a part that are out.
+    fn withdraw(&self, part: usize, acts: &mut dyn Actions) {
+        if !self.settings.flag("limits.withdraw") {
+            return;
+        }
+        let mut trials: Vec<usize> = self.part_of(part).shots.iter().enumerate().map(|s| s.0).collect();
+        trials.retain(|&t| {
+            let node = self.part_of(part).shots[t];
+            self.nodes[node].out.iter().any(|s| s.part == part && s.trial == t)
+        });
+        trials.into_iter().for_each(|t| acts.withdraw(part, t));
+    }
+
+    /// Proof that it never ran frees any part for another shot; without it only what may be repeated.
+    fn may_run_again(&self, now: Micros, p: usize, grade: usize, copy: bool) -> bool {
+        let ran = self.part_of(p).may_have_run;
+        match (ran, self.effect(grade)) {
+            (None, _) => !copy,
+            (_, Effect::Pure) => true,
+            (Some(first), Effect::Receipted) => {
+                now < first + self.grade(grade, "repeat_us", 0.0) as Micros - self.margin()
+            }
+            (_, Effect::Effectful) => false,
+        }
+    }
+
+    /// The stated budget, where there is one; copies keep within a tenth of what was taken anyway, so that
+    /// they cannot feed a slowdown.
+    fn within_budget(&self, now: Micros, copy: bool) -> bool {
+        let used = |from| self.further.sum(from) + 1.0;
+        if let Some(share) = self.settings.number("rules.further_share") {
+            let from = now - self.micros("rules.further_window_us");
+            if used(from) > self.number("rules.further_free", 0.0) + share * self.taken.sum(from + 1) {
+                return false;
+            }
+        }
+        let from = now - RECENT / 2;
+        !copy || used(from) <= 4.0 + 0.1 * self.taken.sum(from)
+    }
+
+    fn finish(&mut self, r: usize, end: End, acts: &mut dyn Actions) {
+        for p in self.held(r).parts.clone() {
+            if self.part_of(p).out > 0 {
+                self.withdraw(p, acts);
+            }
+        }
+        acts.finish(r, end);
+        self.close(r);
+    }
+
+    fn close(&mut self, r: usize) {
+        self.held_mut(r).ended = true;
+        self.open.retain(|&x| x != r);
+        self.ended.push(r);
+    }
+
+    // ---- the way back: what an outcome tells each stage ----
+
+    /// Choice of node: what the end of a shot says of its node.
+    fn learn(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
+        let limit = self.limit(now, grade);
+        let usual = self.usual_lag(now, 0.5).unwrap_or(limit);
+        let node = &mut self.nodes[n];
+        match outcome {
+            Outcome::Ok => {
+                node.lags.push(now, lag as f64);
+                node.strikes = node.strikes.saturating_sub(1);
+                node.last_ok = now;
+                self.lags.push(now, lag as f64);
+            }
+            Outcome::Full => node.barred_until = node.barred_until.max(now + usual),
+            Outcome::Withdrawn | Outcome::Overdue if lag <= limit => {}
+            Outcome::Unsent => {}
+            _ => {
+                if outcome != Outcome::Error {
+                    node.lags.push(now, lag.max(limit) as f64);
+                }
+                // One strike an episode: what fell together is one piece of evidence.
+                let silent = matches!(outcome, Outcome::Withdrawn | Outcome::Overdue);
+                if now >= node.barred_until && !(silent && node.last_ok > now - lag) {
+                    node.strikes = (node.strikes + 1).min(5);
+                    node.barred_until = now + (250_000 << node.strikes);
+                }
+            }
+        }
+    }
+
+    /// Admission: the bound follows what the fleet's lags leave of the agreed time.
+    fn free(&mut self, now: Micros, grade: usize) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let agreed = self.grade(grade, "agreed_us", 1e6);
+        let Some(lag) = self.usual_lag(now, 0.5) else { return };
+        let full = 8.0 * self.ready_nodes() as f64;
+        if lag as f64 > 0.35 * agreed {
+            if now - self.bound_moved > lag {
+                self.bound = (self.bound.min(self.in_flight as f64) * 0.9).max(full / 8.0);
+                self.bound_moved = now;
+            }
+        } else {
+            self.bound = (self.bound + full / 16.0 / self.bound.max(1.0)).min(full);
+        }
+    }
+
+    /// Answer: what the part now is.
+    fn mark(&mut self, p: usize, outcome: Outcome) {
+        let part = self.part_mut(p);
+        part.out -= 1;
+        match outcome {
+            Outcome::Ok => part.done = !part.lost,
+            Outcome::Full | Outcome::Unreachable | Outcome::Unsent => {
+                part.proven += 1;
+                if part.proven == part.shots.len() {
+                    part.may_have_run = None;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn ready_nodes(&self) -> usize {
+        self.nodes.iter().filter(|n| n.ready).count()
+    }
+
+    // ---- list and timers ----
+
+    /// Subscribes where the list must be asked for, again after a failure, later each time.
+    fn follow_list(&mut self, now: Micros, acts: &mut dyn Actions) {
+        if self.settings.text("list.mode") == "asked" && !self.subscribed && now >= self.ask_at {
+            acts.subscribe(true);
+            self.ask_at = now + self.micros("rules.ask_within_us").max(1_000_000);
+        }
+    }
+
+    /// Keeps a timer running while a retrieval is open, so that no end depends on an answer.
+    fn wake(&mut self, now: Micros, acts: &mut dyn Actions) {
+        let tick = self.micros("tick_us").max(1_000);
+        let asks = self.settings.text("list.mode") == "asked" && !self.subscribed;
+        let at = if !self.open.is_empty() {
+            now + tick
+        } else if asks {
+            self.ask_at.max(now + tick)
+        } else {
+            return;
+        };
+        if self.timer_at.is_none_or(|t| t > at || t <= now) {
+            acts.set_timer(at - now, 0);
+            self.timer_at = Some(at);
+        }
+    }
+}
+
+impl Events for Balance {
+    fn list_begins(&mut self, _now: Micros, listing: Listing) {
+        self.listing = Some((listing, Vec::new()));
+    }
+
+    fn listed(
+        &mut self,
+        _now: Micros,
+        n: Node,
+        zone: usize,
+        cell: usize,
+        phase: Phase,
+        _scale: f64,
+        up_since: Micros,
+    ) {
+        if self.nodes.len() <= n {
+            self.nodes.resize_with(n + 1, || NodeState::new(16, 1 << 10));
+        }
+        let node = &mut self.nodes[n];
+        (node.zone, node.cell, node.ready) = (zone, cell, phase == Phase::Ready);
+        if up_since > node.up_since {
+            // A fresh start: what was held against the old process is void.
+            node.up_since = up_since;
+            (node.strikes, node.barred_until) = (0, 0);
+            node.lags.clear();
+        }
+        if let Some((_, seen)) = &mut self.listing {
+            seen.push(n);
+        }
+    }
+
+    fn list_ends(&mut self, now: Micros, acts: &mut dyn Actions) {
+        let Some((listing, seen)) = self.listing.take() else { return };
+        match listing {
+            Listing::Failed => {
+                self.subscribed = false;
+                self.ask_failures = (self.ask_failures + 1).min(3);
+                let wait = 500_000 << self.ask_failures;
+                self.ask_at = now + wait / 2 + self.rng.i64(0..wait);
+                acts.log(&format!("registry out of reach, asked again in {} ms", (self.ask_at - now) / 1000));
+            }
+            Listing::Changes | Listing::Whole => {
+                if self.ask_failures > 0 {
+                    acts.log(&format!("registry back, {} nodes ready", self.ready_nodes()));
+                }
+                (self.subscribed, self.ask_failures) = (true, 0);
+            }
+            Listing::Disk => {}
+        }
+        if matches!(listing, Listing::Whole | Listing::Disk) {
+            for n in 0..self.nodes.len() {
+                self.nodes[n].ready &= seen.contains(&n);
+            }
+        }
+        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
+        self.cells = vec![Vec::new(); cells];
+        for n in 0..self.nodes.len() {
+            self.cells[self.nodes[n].cell % cells].push(n);
+        }
+        if listing == Listing::Disk {
+            self.bound = 8.0 * self.ready_nodes() as f64;
+        }
+    }
+
+    fn retrieval(
+        &mut self,
+        now: Micros,
+        r: usize,
+        grade: usize,
+        tenant: usize,
+        until: Micros,
+        work: Micros,
+        _parts: usize,
+        _again: bool,
+    ) {
+        if self.retrievals.len() <= r {
+            self.retrievals.resize(r + 1, None);
+        }
+        let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
+        let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch) as Micros;
+        let held = Retrieval {
+            grade,
+            tenant,
+            came: now,
+            agreed: agreed.min(until),
+            until,
+            parts: Vec::new(),
+            step: 0,
+            first_whole: false,
+            admitted: None,
+            ended: false,
+        };
+        self.retrievals[r] = Some(held);
+        self.open.push(r);
+        self.taken.push(now, 1.0);
+    }
+
+    fn part(&mut self, now: Micros, r: usize, p: usize, shard: usize, weight: f64, _work: Micros) {
+        if self.parts.len() <= p {
+            self.parts.resize(p + 1, None);
+        }
+        self.parts[p] = Some(Part {
+            retrieval: r,
+            shard,
+            weight,
+            shots: Vec::new(),
+            out: 0,
+            sent_at: 0,
+            may_have_run: None,
+            proven: 0,
+            done: false,
+            lost: false,
+        });
+        self.held_mut(r).parts.push(p);
+        self.taken.push(now, 1.0);
+    }
+
+    fn outcome(
+        &mut self,
+        now: Micros,
+        p: usize,
+        trial: usize,
+        n: Node,
+        outcome: Outcome,
+        lag: Micros,
+        _load: &[(&str, f64)],
+    ) {
+        let Some(at) = self.nodes[n].out.iter().position(|s| s.part == p && s.trial == trial) else { return };
+        self.nodes[n].out.remove(at);
+        let grade = self.held(self.part_of(p).retrieval).grade;
+        self.learn(now, n, grade, outcome, lag);
+        self.free(now, grade);
+        self.mark(p, outcome);
+    }
+
+    fn client_left(&mut self, _now: Micros, r: usize) {
+        if self.retrievals.get(r).is_some_and(|held| held.as_ref().is_some_and(|h| !h.ended)) {
+            self.close(r);
+        }
+    }
+
+    fn probed(&mut self, _now: Micros, _n: Node, _outcome: Outcome, _lag: Micros, _load: &[(&str, f64)]) {}
+
+    fn timer(&mut self, _now: Micros, _token: u64) {
+        self.timer_at = None;
+    }
+
+    fn settle(&mut self, now: Micros, acts: &mut dyn Actions) {
+        self.follow_list(now, acts);
+        // Departure: evidence against most of the fleet is evidence of something else, so nobody is barred.
+        let barred = self.nodes.iter().filter(|n| n.ready && n.barred_until > now).count();
+        let suspect = 2 * barred > self.ready_nodes();
+        if suspect != self.all_suspect {
+            acts.log(&format!(
+                "{barred} of {} nodes barred, bars {}",
+                self.ready_nodes(),
+                if suspect { "off" } else { "on" }
+            ));
+            self.all_suspect = suspect;
+        }
+        self.queue_stands = false;
+        let (sent, waiting): (Vec<usize>, Vec<usize>) =
+            self.open.iter().partition(|&&r| self.held(r).admitted.is_some());
+        for r in sent.into_iter().chain(waiting) {
+            for stage in CHAIN {
+                match stage(self, now, r, acts) {
+                    Step::Pass => {}
+                    Step::Keep => break,
+                    Step::End(end) => {
+                        self.finish(r, end, acts);
+                        break;
+                    }
+                }
+            }
+        }
+        for r in std::mem::take(&mut self.ended) {
+            let parts = self.held(r).parts.clone();
+            if parts.iter().any(|&p| self.part_of(p).out > 0) {
+                self.ended.push(r);
+                continue;
+            }
+            parts.iter().for_each(|&p| self.parts[p] = None);
+            self.retrievals[r] = None;
+            acts.forget(r);
+        }
+        self.wake(now, acts);
+    }
+}
--- /dev/null
+++ b/src/balance/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/src/samples.rs
@@ -0,0 +1,50 @@
+//! The last few samples of a measurement; figures are worked out when asked for.
+
+use crate::Micros;
+use std::collections::VecDeque;
+
+#[derive(Clone, Debug)]
+pub struct Samples {
+    most: usize,
+    items: VecDeque<(Micros, f64)>,
+}
+
+impl Samples {
+    pub fn new(most: usize) -> Self {
+        Samples { most, items: VecDeque::new() }
+    }
+
+    pub fn push(&mut self, at: Micros, value: f64) {
+        if self.items.len() == self.most {
+            self.items.pop_front();
+        }
+        self.items.push_back((at, value));
+    }
+
+    fn since(&self, from: Micros) -> impl Iterator<Item = f64> + '_ {
+        self.items.iter().rev().take_while(move |s| s.0 >= from).map(|s| s.1)
+    }
+
+    /// How many samples were taken at `from` or later.
+    pub fn count(&self, from: Micros) -> usize {
+        self.since(from).count()
+    }
+
+    pub fn sum(&self, from: Micros) -> f64 {
+        self.since(from).sum()
+    }
+
+    /// The value below which the share `q` of the samples since `from` lies.
+    pub fn quantile(&self, q: f64, from: Micros) -> Option<f64> {
+        let mut values: Vec<f64> = self.since(from).collect();
+        if values.is_empty() {
+            return None;
+        }
+        let at = ((values.len() - 1) as f64 * q).round() as usize;
+        Some(*values.select_nth_unstable_by(at, f64::total_cmp).1)
+    }
+
+    pub fn clear(&mut self) {
+        self.items.clear();
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,96 @@
+//! What a router holds of its nodes, retrievals and parts. Mechanics only: no decision is taken here.
+
+use crate::samples::Samples;
+use crate::{Micros, Node};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Pure,
+    Receipted,
+    Effectful,
+}
+
+#[derive(Clone, Debug)]
+pub struct Shot {
+    pub part: usize,
+    pub trial: usize,
+    pub at: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct NodeState {
+    /// Named as ready by the newest list.
+    pub ready: bool,
+    pub zone: usize,
+    pub cell: usize,
+    /// Its latest start that is known or was seen, 0 for long ago.
+    pub up_since: Micros,
+    /// The number of the last turn it took.
+    pub turn: u64,
+    pub out: Vec<Shot>,
+    /// Lags of shots that ended in an answer, or lower bounds from those given up.
+    pub lags: Samples,
+    /// 1 for a bad end, 0 for a good one.
+    pub ends: Samples,
+    /// Work sent, for the cold allowance.
+    pub sent: Samples,
+    /// Bad ends since the last good one, and until when it is left alone for them.
+    pub strikes: u32,
+    pub barred_until: Micros,
+    pub last_ok: Micros,
+}
+
+impl NodeState {
+    pub fn new(few: usize, many: usize) -> Self {
+        NodeState {
+            ready: false,
+            zone: 0,
+            cell: 0,
+            up_since: 0,
+            turn: 0,
+            out: Vec::new(),
+            lags: Samples::new(few),
+            ends: Samples::new(few),
+            sent: Samples::new(many),
+            strikes: 0,
+            barred_until: 0,
+            last_ok: Micros::MIN,
+        }
+    }
+
+    pub fn oldest_out(&self) -> Option<Micros> {
+        self.out.iter().map(|s| s.at).min()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub retrieval: usize,
+    pub shard: usize,
+    pub weight: f64,
+    /// Nodes of its shots, in order.
+    pub shots: Vec<Node>,
+    pub out: usize,
+    pub sent_at: Micros,
+    /// When the earliest shot that may have run was sent.
+    pub may_have_run: Option<Micros>,
+    /// Shots that are proven never to have run.
+    pub proven: usize,
+    pub done: bool,
+    pub lost: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Retrieval {
+    pub grade: usize,
+    pub tenant: usize,
+    pub came: Micros,
+    pub agreed: Micros,
+    pub until: Micros,
+    pub parts: Vec<usize>,
+    /// Where the parts of the present step begin in `parts`, and whether the first step was whole.
+    pub step: usize,
+    pub first_whole: bool,
+    pub admitted: Option<Micros>,
+    pub ended: bool,
+}
