Hold full nodes back, longer each time, and cut the bound on full

Cause: in the first archive incident every node turned shots away and the router hammered them (177 shots a retrieval). Guards also against connection caps that answer as full; may hurt where one full answer is a blip.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -15,6 +15,8 @@
 
 /// How long a sample speaks for the present.
 const RECENT: Micros = 10_000_000;
+/// The longest that a full node is left alone.
+const FULL_HOLD: Micros = 1_000_000;
 /// How much care the choice of a node takes, from the most to the least; see `fits`.
 const NEAR: u8 = 4;
 const EVEN: u8 = 3;
@@ -336,7 +338,8 @@
     /// barred; 0 anyone listed as ready.
     fn fits(&self, now: Micros, n: Node, care: u8, grade: usize) -> bool {
         let node = &self.nodes[n];
-        if !node.ready || (care >= OPEN && node.barred_until > now && !self.all_suspect) {
+        let barred = node.barred_until > now && !self.all_suspect;
+        if !node.ready || (care >= OPEN && (barred || node.full_until > now)) {
             return false;
         }
         let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(now, grade));
@@ -485,16 +488,24 @@
     /// Choice of node: what the end of a shot says of its node.
     fn learn(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
         let limit = self.limit(now, grade);
-        let usual = self.usual_lag(now, 0.5).unwrap_or(limit);
+        let usual = self.usual_lag(now, 0.5).unwrap_or(limit / 8);
         let node = &mut self.nodes[n];
         match outcome {
             Outcome::Ok => {
                 node.lags.push(now, lag as f64);
                 node.strikes = node.strikes.saturating_sub(1);
                 node.last_ok = now;
+                (node.fulls, node.full_until) = (0, now);
                 self.lags.push(now, lag as f64);
             }
-            Outcome::Full => node.barred_until = node.barred_until.max(now + usual),
+            // Guards against a storm of shots that a full node turns away: each costs the node work, and all
+            // nodes may be full at once. It is left alone, longer each time, until it answers something.
+            Outcome::Full => {
+                if now >= node.full_until {
+                    node.fulls = (node.fulls + 1).min(5);
+                    node.full_until = now + (usual / 2 << node.fulls).min(FULL_HOLD);
+                }
+            }
             Outcome::Withdrawn | Outcome::Overdue if lag <= limit => {}
             Outcome::Unsent => {}
             _ => {
@@ -512,12 +523,12 @@
     }
 
     /// Admission: the bound follows what the fleet's lags leave of the agreed time.
-    fn free(&mut self, now: Micros, grade: usize) {
+    fn free(&mut self, now: Micros, grade: usize, outcome: Outcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let agreed = self.grade(grade, "agreed_us", 1e6);
         let Some(lag) = self.usual_lag(now, 0.5) else { return };
         let full = 8.0 * self.ready_nodes() as f64;
-        if lag as f64 > 0.35 * agreed {
+        if lag as f64 > 0.35 * agreed || outcome == Outcome::Full {
             if now - self.bound_moved > lag {
                 self.bound = (self.bound.min(self.in_flight as f64) * 0.9).max(full / 8.0);
                 self.bound_moved = now;
@@ -581,13 +592,7 @@
     }
 
     fn listed(
-        &mut self,
-        _now: Micros,
-        n: Node,
-        zone: usize,
-        cell: usize,
-        phase: Phase,
-        _scale: f64,
+        &mut self, _now: Micros, n: Node, zone: usize, cell: usize, phase: Phase, _scale: f64,
         up_since: Micros,
     ) {
         if self.nodes.len() <= n {
@@ -640,15 +645,8 @@
     }
 
     fn retrieval(
-        &mut self,
-        now: Micros,
-        r: usize,
-        grade: usize,
-        tenant: usize,
-        until: Micros,
-        work: Micros,
-        _parts: usize,
-        _again: bool,
+        &mut self, now: Micros, r: usize, grade: usize, _tenant: usize, until: Micros, work: Micros,
+        _parts: usize, _again: bool,
     ) {
         if self.retrievals.len() <= r {
             self.retrievals.resize(r + 1, None);
@@ -657,8 +655,6 @@
         let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch) as Micros;
         let held = Retrieval {
             grade,
-            tenant,
-            came: now,
             agreed: agreed.min(until),
             until,
             parts: Vec::new(),
@@ -693,20 +689,14 @@
     }
 
     fn outcome(
-        &mut self,
-        now: Micros,
-        p: usize,
-        trial: usize,
-        n: Node,
-        outcome: Outcome,
-        lag: Micros,
+        &mut self, now: Micros, p: usize, trial: usize, n: Node, outcome: Outcome, lag: Micros,
         _load: &[(&str, f64)],
     ) {
         let Some(at) = self.nodes[n].out.iter().position(|s| s.part == p && s.trial == trial) else { return };
         self.nodes[n].out.remove(at);
         let grade = self.held(self.part_of(p).retrieval).grade;
         self.learn(now, n, grade, outcome, lag);
-        self.free(now, grade);
+        self.free(now, grade, outcome);
         self.mark(p, outcome);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -102,13 +102,7 @@
     /// One line of the list that has begun; `up_since` is 0 for long ago.
     #[allow(clippy::too_many_arguments)]
     fn listed(
-        &mut self,
-        now: Micros,
-        node: Node,
-        zone: usize,
-        cell: usize,
-        phase: Phase,
-        scale: f64,
+        &mut self, now: Micros, node: Node, zone: usize, cell: usize, phase: Phase, scale: f64,
         up_since: Micros,
     );
     fn list_ends(&mut self, now: Micros, acts: &mut dyn Actions);
@@ -116,27 +110,14 @@
     /// `work` is a rough figure for all its parts, 0 where there is none.
     #[allow(clippy::too_many_arguments)]
     fn retrieval(
-        &mut self,
-        now: Micros,
-        retrieval: usize,
-        grade: usize,
-        tenant: usize,
-        until: Micros,
-        work: Micros,
-        parts: usize,
-        again: bool,
+        &mut self, now: Micros, retrieval: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
+        parts: usize, again: bool,
     );
     fn part(&mut self, now: Micros, retrieval: usize, part: usize, shard: usize, weight: f64, work: Micros);
     /// Shot number `trial` of a part is over, `lag` after it was sent; `load` holds the node's report, if any.
     #[allow(clippy::too_many_arguments)]
     fn outcome(
-        &mut self,
-        now: Micros,
-        part: usize,
-        trial: usize,
-        node: Node,
-        outcome: Outcome,
-        lag: Micros,
+        &mut self, now: Micros, part: usize, trial: usize, node: Node, outcome: Outcome, lag: Micros,
         load: &[(&str, f64)],
     );
     /// The client has left.
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,14 +30,15 @@
     pub out: Vec<Shot>,
     /// Lags of shots that ended in an answer, or lower bounds from those given up.
     pub lags: Samples,
-    /// 1 for a bad end, 0 for a good one.
-    pub ends: Samples,
     /// Work sent, for the cold allowance.
     pub sent: Samples,
     /// Bad ends since the last good one, and until when it is left alone for them.
     pub strikes: u32,
     pub barred_until: Micros,
     pub last_ok: Micros,
+    /// The same for refusals as full.
+    pub fulls: u32,
+    pub full_until: Micros,
 }
 
 impl NodeState {
@@ -50,11 +51,12 @@
             turn: 0,
             out: Vec::new(),
             lags: Samples::new(few),
-            ends: Samples::new(few),
             sent: Samples::new(many),
             strikes: 0,
             barred_until: 0,
             last_ok: Micros::MIN,
+            fulls: 0,
+            full_until: 0,
         }
     }
 
@@ -83,8 +85,6 @@
 #[derive(Clone, Debug)]
 pub struct Retrieval {
     pub grade: usize,
-    pub tenant: usize,
-    pub came: Micros,
     pub agreed: Micros,
     pub until: Micros,
     pub parts: Vec<usize>,
