Bound each node by its own lags; over-share tenants wait behind; refuse by learned spans

Cause: a hot region filled the one bound for all, and what it held back stood before retrievals that needed none of it. Holds also against single slow nodes and jumps in traffic; may hurt where one node's lags jump for a moment.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,9 +12,14 @@
 use crate::samples::Samples;
 use crate::state::{Effect, NodeState, Part, Retrieval, Shot};
 use crate::{Actions, End, Events, Listing, Micros, Node, Outcome, Phase, Settings};
+use std::cmp::Reverse;
 
 /// How long a sample speaks for the present.
 const RECENT: Micros = 10_000_000;
+/// Parts in flight at a listed node to start with, and at most.
+const BOUND: f64 = 8.0;
+/// Over how long a tenant's share is judged.
+const SHARE_WINDOW: Micros = 3_000_000;
 /// The longest that a full node is left alone.
 const FULL_HOLD: Micros = 1_000_000;
 /// How much care the choice of a node takes, from the most to the least; see `fits`.
@@ -44,11 +49,13 @@
     /// Retrievals without a final answer by arrival, and those ended that still have shots out.
     open: Vec<usize>,
     ended: Vec<usize>,
-    in_flight: usize,
-    bound: f64,
-    bound_moved: Micros,
-    /// A retrieval waits at the bound: those behind it wait too.
-    queue_stands: bool,
+    /// By node, the parts of waiting retrievals that come before others there.
+    claims: Vec<usize>,
+    usual: Option<[Micros; 3]>,
+    /// By service grade, how long retrievals took from the first send to the answer.
+    spans: Vec<Samples>,
+    /// By tenant, what it asked.
+    tenants: Vec<Samples>,
     lags: Samples,
     taken: Samples,
     further: Samples,
@@ -72,10 +79,10 @@
             parts: Vec::new(),
             open: Vec::new(),
             ended: Vec::new(),
-            in_flight: 0,
-            bound: 0.0,
-            bound_moved: 0,
-            queue_stands: false,
+            claims: Vec::new(),
+            usual: None,
+            spans: Vec::new(),
+            tenants: Vec::new(),
             lags: Samples::new(128),
             taken: Samples::new(1 << 16),
             further: Samples::new(1 << 12),
@@ -200,12 +207,18 @@
         let held = self.held(r);
         let late = self.grade(held.grade, "late_share", 0.0);
         let over = match held.admitted {
-            None => now + self.usual_lag(now, 0.5).unwrap_or(0) > held.agreed - self.margin(),
+            None => now + self.span(now, held.grade) > held.agreed - self.margin(),
             Some(_) => late <= 0.0 && now >= held.agreed,
         };
         if over || now >= held.until - self.margin() { self.doom(r) } else { Step::Pass }
     }
 
+    /// How long a retrieval of the grade takes of late once it is sent.
+    fn span(&self, now: Micros, grade: usize) -> Micros {
+        let span = self.spans.get(grade).and_then(|s| s.quantile(0.5, now - RECENT));
+        span.map_or(0, |s| (s as Micros).min(self.grade(grade, "agreed_us", 1e6) as Micros / 2))
+    }
+
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
     fn admit(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
         let held = self.held(r);
@@ -213,15 +226,16 @@
             return Step::Pass;
         }
         let (parts, floor) = (held.parts.clone(), self.grade(held.grade, "floor", 1.0));
-        let full = self.in_flight > 0 && (self.in_flight + parts.len()) as f64 > self.bound;
-        self.queue_stands |= full;
-        if self.queue_stands {
-            return Step::Keep;
-        }
         let plan = self.plan(now, &parts);
         let sure: f64 = plan.iter().map(|&(p, _)| self.part_of(p).weight).sum();
         // Departure: a shard without a sound holder does not hold up what its floor lets go without it.
         if plan.len() < parts.len() && (floor >= 1.0 || sure < floor) {
+            // What it waits for is kept for it, so that smaller retrievals do not pass it there for ever.
+            for p in parts.into_iter().filter(|p| !plan.iter().any(|x| x.0 == *p)) {
+                if let Some((n, OPEN..)) = self.pick(now, &[p], &[], false) {
+                    self.claims[n] += 1;
+                }
+            }
             return Step::Keep;
         }
         self.held_mut(r).admitted = Some(now);
@@ -246,8 +260,8 @@
     fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.held(r);
         let (grade, agreed) = (held.grade, held.agreed);
-        let patience = self.limit(now, grade);
-        for p in held.parts[held.step..].to_vec() {
+        let patience = self.limit(grade);
+        for p in held.parts[held.step..].to_owned() {
             let part = self.part_of(p);
             if part.done || part.lost || part.shots.is_empty() {
                 continue;
@@ -265,11 +279,11 @@
                 self.part_mut(p).lost |= lost;
                 continue;
             }
-            let in_time = now + self.usual_lag(now, 0.5).unwrap_or(0) < agreed;
+            let in_time = now + self.usual.map_or(0, |u| u[1]) < agreed;
             if !in_time || !self.within_budget(now, copy) {
                 continue;
             }
-            if let Some((node, care)) = self.pick(now, &[p], &[]) {
+            if let Some((node, care)) = self.pick(now, &[p], &[], false) {
                 let fresh = !self.part_of(p).shots.contains(&node);
                 if care >= SOUND && fresh || !copy && care >= OPEN {
                     self.further.push(now, 1.0);
@@ -287,11 +301,11 @@
         let most = self.number("calls.parts", 1.0).max(1.0) as usize;
         let (mut left, mut plan) = (parts.to_vec(), Vec::new());
         while !left.is_empty() {
-            let Some((node, _)) = self.pick(now, &left, &plan).filter(|&(_, care)| care >= OPEN) else {
+            let Some((node, _)) = self.pick(now, &left, &plan, true).filter(|&(_, care)| care >= OPEN) else {
                 left.remove(0);
                 continue;
             };
-            let mut room = most;
+            let mut room = most.min(self.room(node, plan.iter().filter(|x| x.1 == node).count()));
             left.retain(|&p| {
                 let goes = room > 0 && self.holds(node, self.part_of(p).shard);
                 room -= goes as usize;
@@ -306,7 +320,7 @@
 
     /// The node for the first of `left`: with the most care that any holder meets, the one whose call can
     /// carry most parts, and among those the one whose turn is longest ago.
-    fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)]) -> Option<(Node, u8)> {
+    fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)], bound: bool) -> Option<(Node, u8)> {
         let part = self.part_of(left[0]);
         let most = self.number("calls.parts", 1.0).max(1.0) as usize;
         let holders = self.holders(part.shard);
@@ -316,19 +330,20 @@
         let planned = |n: Node| plan.iter().filter(|x| x.1 == n).count();
         let finish = |n: Node| self.pace(now, n) * (1.0 + (self.nodes[n].out.len() + planned(n)) as f64);
         let sound: Vec<Node> = holders.iter().copied().filter(|&n| self.fits(now, n, SOUND, grade)).collect();
-        let usual = self.usual_lag(now, 0.5).unwrap_or(0) as f64;
+        let usual = self.usual.map_or(0, |u| u[1]) as f64;
         let best = sound.iter().map(|&n| finish(n)).fold(f64::INFINITY, f64::min);
         (0..=NEAR).rev().find_map(|care| {
             holders
                 .iter()
                 .copied()
+                .filter(|&n| !bound || self.room(n, planned(n)) > 0)
                 .filter(|&n| self.cold_room(now, n, planned(n) + 1, grade))
                 .filter(|&n| self.fits(now, n, care.min(SOUND), grade))
                 .filter(|&n| care < EVEN || finish(n) <= 2.0 * best + usual)
                 .filter(|&n| care < NEAR || self.nodes[n].zone == self.micros("zone") as usize)
                 .min_by_key(|&n| {
                     let shared = left.iter().filter(|&&p| self.holds(n, self.part_of(p).shard)).count();
-                    (std::cmp::Reverse(shared.min(most)), self.nodes[n].turn)
+                    (Reverse(shared.min(most)), self.nodes[n].turn)
                 })
                 .map(|n| (n, care))
         })
@@ -342,12 +357,17 @@
         if !node.ready || (care >= OPEN && (barred || node.full_until > now)) {
             return false;
         }
-        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(now, grade));
+        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade));
         // An effectful part cannot be helped by another shot, so its first choice must be proven.
         let doubt = node.strikes > 0 && (!node.out.is_empty() || self.effect(grade) == Effect::Effectful);
         care < SOUND || !(overdue || doubt)
     }
 
+    /// How many parts more a node may hold of this router's.
+    fn room(&self, n: Node, planned: usize) -> usize {
+        (self.nodes[n].bound as usize).saturating_sub(self.nodes[n].out.len() + self.claims[n] + planned)
+    }
+
     fn holders(&self, shard: usize) -> Vec<Node> {
         let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
         let width = self.number("shards.width", 1.0) as usize;
@@ -364,20 +384,22 @@
     /// What a shot takes at a node: its own recent lags, a shot still out for longer, else the usual.
     fn pace(&self, now: Micros, n: Node) -> f64 {
         let node = &self.nodes[n];
-        let lag = node.lags.quantile(0.5, now - RECENT / 2).or(self.lags.quantile(0.5, now - RECENT));
+        let lag = node.lags.quantile(0.5, now - RECENT / 2).or(self.usual.map(|u| u[1] as f64));
         let age = node.oldest_out().map_or(0, |at| now - at) as f64;
         lag.unwrap_or(1.0).max(age)
     }
 
-    fn usual_lag(&self, now: Micros, q: f64) -> Option<Micros> {
-        let known = self.lags.count(now - RECENT) >= 16;
-        known.then(|| self.lags.quantile(q, now - RECENT).unwrap_or(0.0) as Micros)
+    /// A low, the middle and a high lag of late; worked out once an instant, none until some are learned.
+    fn learn_usual(&mut self, now: Micros) {
+        let from = now - RECENT;
+        self.usual = (self.lags.count(from) >= 16)
+            .then(|| [0.3, 0.5, 0.9].map(|q| self.lags.quantile(q, from).unwrap_or(0.0) as Micros));
     }
 
     /// How long a shot may be out before it is overdue: the agreed time until lags are learned.
-    fn limit(&self, now: Micros, grade: usize) -> Micros {
+    fn limit(&self, grade: usize) -> Micros {
         let agreed = self.grade(grade, "agreed_us", 1e6) as Micros;
-        self.usual_lag(now, 0.9).map_or(agreed, |lag| agreed.min(2 * lag))
+        self.usual.map_or(agreed, |u| agreed.min(2 * u[2]))
     }
 
     /// This router's share of what a cold node can take in the rule's window, all its sends counted.
@@ -394,20 +416,20 @@
         // Cores are told nowhere: one is the least a node has.
         let room = self.number("rules.tip_multiple", 1.0).min(2.0) * capacity * window as f64
             / self.number("routers", 1.0);
-        let work = parts as f64 * self.part_work(now, grade) + self.number("calls.work_us", 0.0);
+        let work = parts as f64 * self.part_work(grade) + self.number("calls.work_us", 0.0);
         node.sent.sum(now - window) + work <= room
     }
 
     /// Work of a part is not told: a low lag is near it, a tenth of the agreed time until one is learned.
-    fn part_work(&self, now: Micros, grade: usize) -> f64 {
-        self.usual_lag(now, 0.3).map_or(self.grade(grade, "agreed_us", 1e6) / 10.0, |lag| lag as f64)
+    fn part_work(&self, grade: usize) -> f64 {
+        self.usual.map_or(self.grade(grade, "agreed_us", 1e6) / 10.0, |u| u[0] as f64)
     }
 
     // ---- shots ----
 
     fn send(&mut self, now: Micros, part: usize, node: Node, acts: &mut dyn Actions) {
         let grade = self.held(self.part_of(part).retrieval).grade;
-        let mut work = self.part_work(now, grade);
+        let mut work = self.part_work(grade);
         if self.nodes[node].out.last().is_none_or(|s| s.at < now) {
             work += self.number("calls.work_us", 0.0);
             self.turns += 1;
@@ -423,7 +445,6 @@
         held.sent_at = now;
         held.may_have_run.get_or_insert(now);
         self.nodes[node].out.push(Shot { part, trial, at: now });
-        self.in_flight += 1;
         acts.send(part, node, 0);
     }
 
@@ -467,13 +488,20 @@
         !copy || used(from) <= 4.0 + 0.1 * self.taken.sum(from)
     }
 
-    fn finish(&mut self, r: usize, end: End, acts: &mut dyn Actions) {
+    fn finish(&mut self, now: Micros, r: usize, end: End, acts: &mut dyn Actions) {
         for p in self.held(r).parts.clone() {
             if self.part_of(p).out > 0 {
                 self.withdraw(p, acts);
             }
         }
         acts.finish(r, end);
+        let (grade, admitted) = (self.held(r).grade, self.held(r).admitted);
+        if let (End::Whole, Some(at)) = (end, admitted) {
+            if self.spans.len() <= grade {
+                self.spans.resize(grade + 1, Samples::new(32));
+            }
+            self.spans[grade].push(now, (now - at) as f64);
+        }
         self.close(r);
     }
 
@@ -487,8 +515,8 @@
 
     /// Choice of node: what the end of a shot says of its node.
     fn learn(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
-        let limit = self.limit(now, grade);
-        let usual = self.usual_lag(now, 0.5).unwrap_or(limit / 8);
+        let limit = self.limit(grade);
+        let usual = self.usual.map_or(limit / 8, |u| u[1]);
         let node = &mut self.nodes[n];
         match outcome {
             Outcome::Ok => {
@@ -503,7 +531,7 @@
             Outcome::Full => {
                 if now >= node.full_until {
                     node.fulls = (node.fulls + 1).min(5);
-                    node.full_until = now + (usual / 2 << node.fulls).min(FULL_HOLD);
+                    node.full_until = now + ((usual / 2) << node.fulls).min(FULL_HOLD);
                 }
             }
             Outcome::Withdrawn | Outcome::Overdue if lag <= limit => {}
@@ -522,19 +550,18 @@
         }
     }
 
-    /// Admission: the bound follows what the fleet's lags leave of the agreed time.
-    fn free(&mut self, now: Micros, grade: usize, outcome: Outcome) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        let agreed = self.grade(grade, "agreed_us", 1e6);
-        let Some(lag) = self.usual_lag(now, 0.5) else { return };
-        let full = 8.0 * self.ready_nodes() as f64;
-        if lag as f64 > 0.35 * agreed || outcome == Outcome::Full {
-            if now - self.bound_moved > lag {
-                self.bound = (self.bound.min(self.in_flight as f64) * 0.9).max(full / 8.0);
-                self.bound_moved = now;
+    /// Admission: a node's bound follows what its lags leave of the agreed time.
+    fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
+        let target = 0.35 * self.grade(grade, "agreed_us", 1e6);
+        let node = &mut self.nodes[n];
+        let slow = lag as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
+        if slow || outcome == Outcome::Full {
+            if now - node.bound_moved > lag {
+                node.bound = (node.bound.min(node.out.len() as f64 + 1.0) * 0.8).max(2.0);
+                node.bound_moved = now;
             }
-        } else {
-            self.bound = (self.bound + full / 16.0 / self.bound.max(1.0)).min(full);
+        } else if outcome == Outcome::Ok {
+            node.bound = (node.bound + 1.0 / node.bound).min(BOUND);
         }
     }
 
@@ -596,7 +623,8 @@
         up_since: Micros,
     ) {
         if self.nodes.len() <= n {
-            self.nodes.resize_with(n + 1, || NodeState::new(16, 1 << 10));
+            self.claims.resize(n + 1, 0);
+            self.nodes.resize_with(n + 1, || NodeState::new(BOUND, 16, 1 << 10));
         }
         let node = &mut self.nodes[n];
         (node.zone, node.cell, node.ready) = (zone, cell, phase == Phase::Ready);
@@ -639,13 +667,10 @@
         for n in 0..self.nodes.len() {
             self.cells[self.nodes[n].cell % cells].push(n);
         }
-        if listing == Listing::Disk {
-            self.bound = 8.0 * self.ready_nodes() as f64;
-        }
     }
 
     fn retrieval(
-        &mut self, now: Micros, r: usize, grade: usize, _tenant: usize, until: Micros, work: Micros,
+        &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, _again: bool,
     ) {
         if self.retrievals.len() <= r {
@@ -653,7 +678,15 @@
         }
         let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
         let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch) as Micros;
+        if self.tenants.len() <= tenant {
+            self.tenants.resize(tenant + 1, Samples::new(1 << 10));
+        }
+        self.tenants[tenant].push(now, 1.0);
+        let quota =
+            self.number(&format!("tenant.{tenant}.per_s"), f64::INFINITY) / self.number("routers", 1.0);
+        let over_share = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
         let held = Retrieval {
+            over_share,
             grade,
             agreed: agreed.min(until),
             until,
@@ -696,7 +729,7 @@
         self.nodes[n].out.remove(at);
         let grade = self.held(self.part_of(p).retrieval).grade;
         self.learn(now, n, grade, outcome, lag);
-        self.free(now, grade, outcome);
+        self.free(now, n, grade, outcome, lag);
         self.mark(p, outcome);
     }
 
@@ -725,16 +758,19 @@
             ));
             self.all_suspect = suspect;
         }
-        self.queue_stands = false;
-        let (sent, waiting): (Vec<usize>, Vec<usize>) =
+        self.learn_usual(now);
+        self.claims = vec![0; self.nodes.len()];
+        let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
             self.open.iter().partition(|&&r| self.held(r).admitted.is_some());
+        // What a tenant asks beyond its share waits behind the rest.
+        waiting.sort_by_key(|&r| self.held(r).over_share);
         for r in sent.into_iter().chain(waiting) {
             for stage in CHAIN {
                 match stage(self, now, r, acts) {
                     Step::Pass => {}
                     Step::Keep => break,
                     Step::End(end) => {
-                        self.finish(r, end, acts);
+                        self.finish(now, r, end, acts);
                         break;
                     }
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,9 @@
     pub up_since: Micros,
     /// The number of the last turn it took.
     pub turn: u64,
+    /// The most parts of this router's that it may hold, and when that last shrank.
+    pub bound: f64,
+    pub bound_moved: Micros,
     pub out: Vec<Shot>,
     /// Lags of shots that ended in an answer, or lower bounds from those given up.
     pub lags: Samples,
@@ -42,13 +45,15 @@
 }
 
 impl NodeState {
-    pub fn new(few: usize, many: usize) -> Self {
+    pub fn new(bound: f64, few: usize, many: usize) -> Self {
         NodeState {
             ready: false,
             zone: 0,
             cell: 0,
             up_since: 0,
             turn: 0,
+            bound,
+            bound_moved: 0,
             out: Vec::new(),
             lags: Samples::new(few),
             sent: Samples::new(many),
@@ -85,6 +90,8 @@
 #[derive(Clone, Debug)]
 pub struct Retrieval {
     pub grade: usize,
+    /// Its tenant had asked for more than its share when it came.
+    pub over_share: bool,
     pub agreed: Micros,
     pub until: Micros,
     pub parts: Vec<usize>,
