--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 use crate::samples::Samples;
-use crate::state::{Effect, NodeState, Part, Retrieval, Shot};
+use crate::state::{Book, Effect, NodeState, Part, Retrieval, Shards, Shot};
 use crate::{Actions, End, Events, Listing, Micros, Node, Outcome, Phase, Settings};
 use std::cmp::Reverse;
 
@@ -43,9 +43,8 @@
     settings: Settings,
     rng: fastrand::Rng,
     nodes: Vec<NodeState>,
-    cells: Vec<Vec<Node>>,
-    retrievals: Vec<Option<Retrieval>>,
-    parts: Vec<Option<Part>>,
+    shards: Shards,
+    book: Book,
     /// Retrievals without a final answer by arrival, and those ended that still have shots out.
     open: Vec<usize>,
     ended: Vec<usize>,
@@ -70,13 +69,14 @@
 
 impl Balance {
     pub fn new(seed: u64, settings: Settings) -> Self {
+        let whole = |name| settings.number(name).unwrap_or(1.0) as usize;
+        let shards = Shards { cells: whole("shards.cells"), width: whole("shards.width") };
         Balance {
             settings,
             rng: fastrand::Rng::with_seed(seed),
             nodes: Vec::new(),
-            cells: Vec::new(),
-            retrievals: Vec::new(),
-            parts: Vec::new(),
+            shards,
+            book: Book::default(),
             open: Vec::new(),
             ended: Vec::new(),
             claims: Vec::new(),
@@ -116,22 +116,6 @@
         }
     }
 
-    fn part_of(&self, part: usize) -> &Part {
-        self.parts[part].as_ref().expect("a held part")
-    }
-
-    fn part_mut(&mut self, part: usize) -> &mut Part {
-        self.parts[part].as_mut().expect("a held part")
-    }
-
-    fn held(&self, retrieval: usize) -> &Retrieval {
-        self.retrievals[retrieval].as_ref().expect("a held retrieval")
-    }
-
-    fn held_mut(&mut self, retrieval: usize) -> &mut Retrieval {
-        self.retrievals[retrieval].as_mut().expect("a held retrieval")
-    }
-
     /// Answers are sent this long before a limit, since the router acts on ticks.
     fn margin(&self) -> Micros {
         2 * self.micros("tick_us") + 2_000
@@ -141,7 +125,7 @@
 
     /// Answers when the parts are in that make it whole; ends what no longer can be.
     fn reduce(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
-        let held = self.held(r);
+        let held = self.book.held(r);
         let (grade, step) = (held.grade, held.step);
         let parts = held.parts[step..].to_vec();
         if parts.is_empty() {
@@ -153,7 +137,7 @@
         let floor = if step > 0 && self.grade(grade, "need", 1.0) <= floor { 1.0 } else { floor };
         let (mut inside, mut possible, mut waiting) = (0.0, 0.0, false);
         for &p in &parts {
-            let part = self.part_of(p);
+            let part = self.book.part(p);
             if part.done {
                 inside += part.weight;
             }
@@ -165,9 +149,9 @@
                 self.withdraw(p, acts);
             }
         }
-        let all = parts.iter().all(|&p| self.part_of(p).done);
+        let all = parts.iter().all(|&p| self.book.part(p).done);
         let whole = all || (need < 1.0 && inside >= need);
-        let end = if whole && (step == 0 || self.held(r).first_whole) {
+        let end = if whole && (step == 0 || self.book.held(r).first_whole) {
             End::Whole
         } else if inside >= floor && (whole || !waiting || self.pays_now(now, r, inside / need)) {
             End::Part
@@ -180,7 +164,7 @@
             return Step::End(end);
         }
         // The first answer brings the second step's parts.
-        let held = self.held_mut(r);
+        let held = self.book.held_mut(r);
         (held.step, held.first_whole) = (held.parts.len(), end == End::Whole);
         acts.finish(r, end);
         Step::Keep
@@ -188,7 +172,7 @@
 
     /// Departure: where a floor allows it, the agreed time's end is worth an answer from part.
     fn pays_now(&self, now: Micros, r: usize, share: f64) -> bool {
-        let held = self.held(r);
+        let held = self.book.held(r);
         let late = self.grade(held.grade, "late_share", 0.0);
         let pays = self.grade(held.grade, "part_share", 0.0) * share > late;
         now >= held.until - self.margin() || (pays && now >= held.agreed - self.margin())
@@ -196,15 +180,15 @@
 
     /// The end of a retrieval that cannot be answered: deferred only if asking again is harmless.
     fn doom(&self, r: usize) -> Step {
-        let held = self.held(r);
-        let ran = held.parts.iter().any(|&p| self.part_of(p).may_have_run.is_some());
+        let held = self.book.held(r);
+        let ran = held.parts.iter().any(|&p| self.book.part(p).may_have_run.is_some());
         let harmless = !ran || self.effect(held.grade) == Effect::Pure;
         Step::End(if harmless { End::Deferred(0) } else { End::GivenUp })
     }
 
     /// Ends what ran out of time: unsent work that can no longer be in time, sent work that pays no more.
     fn time_left(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
-        let held = self.held(r);
+        let held = self.book.held(r);
         let late = self.grade(held.grade, "late_share", 0.0);
         let over = match held.admitted {
             None => now + self.span(now, held.grade) > held.agreed - self.margin(),
@@ -221,13 +205,13 @@
 
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
     fn admit(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
-        let held = self.held(r);
+        let held = self.book.held(r);
         if held.admitted.is_some() {
             return Step::Pass;
         }
         let (parts, floor) = (held.parts.clone(), self.grade(held.grade, "floor", 1.0));
         let plan = self.plan(now, &parts);
-        let sure: f64 = plan.iter().map(|&(p, _)| self.part_of(p).weight).sum();
+        let sure: f64 = plan.iter().map(|&(p, _)| self.book.part(p).weight).sum();
         // Departure: a shard without a sound holder does not hold up what its floor lets go without it.
         if plan.len() < parts.len() && (floor >= 1.0 || sure < floor) {
             // What it waits for is kept for it, so that smaller retrievals do not pass it there for ever.
@@ -238,17 +222,17 @@
             }
             return Step::Keep;
         }
-        self.held_mut(r).admitted = Some(now);
+        self.book.held_mut(r).admitted = Some(now);
         Step::Pass
     }
 
     /// Sends the parts that have not been sent.
     fn place(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
-        let held = self.held(r);
+        let held = self.book.held(r);
         let unsent: Vec<usize> = held.parts[held.step..]
             .iter()
             .copied()
-            .filter(|&p| self.part_of(p).shots.is_empty() && !self.part_of(p).lost)
+            .filter(|&p| self.book.part(p).shots.is_empty() && !self.book.part(p).lost)
             .collect();
         for (part, node) in self.plan(now, &unsent) {
             self.send(now, part, node, acts);
@@ -258,11 +242,11 @@
 
     /// Further shots: another try for a part whose shots are over, a second copy for an overdue one.
     fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
-        let held = self.held(r);
-        let (grade, agreed) = (held.grade, held.agreed);
+        let held = self.book.held(r);
+        let (grade, agreed, step, parts) = (held.grade, held.agreed, held.step, held.parts.clone());
         let patience = self.limit(grade);
-        for p in held.parts[held.step..].to_owned() {
-            let part = self.part_of(p);
+        for p in parts.into_iter().skip(step) {
+            let part = self.book.part(p);
             if part.done || part.lost || part.shots.is_empty() {
                 continue;
             }
@@ -276,7 +260,7 @@
                 || !self.may_run_again(now, p, grade, copy)
             {
                 let lost = !copy;
-                self.part_mut(p).lost |= lost;
+                self.book.part_mut(p).lost |= lost;
                 continue;
             }
             let in_time = now + self.usual.map_or(0, |u| u[1]) < agreed;
@@ -284,7 +268,7 @@
                 continue;
             }
             if let Some((node, care)) = self.pick(now, &[p], &[], false) {
-                let fresh = !self.part_of(p).shots.contains(&node);
+                let fresh = !self.book.part(p).shots.contains(&node);
                 if care >= SOUND && fresh || !copy && care >= OPEN {
                     self.further.push(now, 1.0);
                     self.send(now, p, node, acts);
@@ -307,7 +291,7 @@
             };
             let mut room = most.min(self.room(node, plan.iter().filter(|x| x.1 == node).count()));
             left.retain(|&p| {
-                let goes = room > 0 && self.holds(node, self.part_of(p).shard);
+                let goes = room > 0 && self.holds(node, self.book.part(p).shard);
                 room -= goes as usize;
                 if goes {
                     plan.push((p, node));
@@ -321,10 +305,10 @@
     /// The node for the first of `left`: with the most care that any holder meets, the one whose call can
     /// carry most parts, and among those the one whose turn is longest ago.
     fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)], bound: bool) -> Option<(Node, u8)> {
-        let part = self.part_of(left[0]);
+        let part = self.book.part(left[0]);
         let most = self.number("calls.parts", 1.0).max(1.0) as usize;
         let holders = self.holders(part.shard);
-        let grade = self.held(part.retrieval).grade;
+        let grade = self.book.held(part.retrieval).grade;
         let rest: Vec<Node> = holders.iter().copied().filter(|n| !part.shots.contains(n)).collect();
         let holders = if rest.is_empty() { holders } else { rest };
         let planned = |n: Node| plan.iter().filter(|x| x.1 == n).count();
@@ -342,7 +326,7 @@
                 .filter(|&n| care < EVEN || finish(n) <= 2.0 * best + usual)
                 .filter(|&n| care < NEAR || self.nodes[n].zone == self.micros("zone") as usize)
                 .min_by_key(|&n| {
-                    let shared = left.iter().filter(|&&p| self.holds(n, self.part_of(p).shard)).count();
+                    let shared = left.iter().filter(|&&p| self.holds(n, self.book.part(p).shard)).count();
                     (Reverse(shared.min(most)), self.nodes[n].turn)
                 })
                 .map(|n| (n, care))
@@ -369,16 +353,11 @@
     }
 
     fn holders(&self, shard: usize) -> Vec<Node> {
-        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
-        let width = self.number("shards.width", 1.0) as usize;
-        let at = |j| self.cells.get((shard + j) % cells).map_or(&[][..], Vec::as_slice);
-        (0..width.min(cells)).flat_map(|j| at(j).iter().copied()).filter(|&n| self.nodes[n].ready).collect()
+        (0..self.nodes.len()).filter(|&n| self.nodes[n].ready && self.holds(n, shard)).collect()
     }
 
     fn holds(&self, n: Node, shard: usize) -> bool {
-        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
-        let width = self.number("shards.width", 1.0) as usize;
-        (self.nodes[n].cell + cells - shard % cells) % cells < width
+        self.shards.hold(self.nodes[n].cell, shard)
     }
 
     /// What a shot takes at a node: its own recent lags, a shot still out for longer, else the usual.
@@ -428,7 +407,7 @@
     // ---- shots ----
 
     fn send(&mut self, now: Micros, part: usize, node: Node, acts: &mut dyn Actions) {
-        let grade = self.held(self.part_of(part).retrieval).grade;
+        let grade = self.book.held(self.book.part(part).retrieval).grade;
         let mut work = self.part_work(grade);
         if self.nodes[node].out.last().is_none_or(|s| s.at < now) {
             work += self.number("calls.work_us", 0.0);
@@ -438,7 +417,7 @@
         let to = &mut self.nodes[node];
         to.turn = turn;
         to.sent.push(now, work);
-        let held = self.part_mut(part);
+        let held = self.book.part_mut(part);
         let trial = held.shots.len();
         held.shots.push(node);
         held.out += 1;
@@ -453,9 +432,9 @@
         if !self.settings.flag("limits.withdraw") {
             return;
         }
-        let mut trials: Vec<usize> = self.part_of(part).shots.iter().enumerate().map(|s| s.0).collect();
+        let mut trials: Vec<usize> = self.book.part(part).shots.iter().enumerate().map(|s| s.0).collect();
         trials.retain(|&t| {
-            let node = self.part_of(part).shots[t];
+            let node = self.book.part(part).shots[t];
             self.nodes[node].out.iter().any(|s| s.part == part && s.trial == t)
         });
         trials.into_iter().for_each(|t| acts.withdraw(part, t));
@@ -463,7 +442,7 @@
 
     /// Proof that it never ran frees any part for another shot; without it only what may be repeated.
     fn may_run_again(&self, now: Micros, p: usize, grade: usize, copy: bool) -> bool {
-        let ran = self.part_of(p).may_have_run;
+        let ran = self.book.part(p).may_have_run;
         match (ran, self.effect(grade)) {
             (None, _) => !copy,
             (_, Effect::Pure) => true,
@@ -489,13 +468,13 @@
     }
 
     fn finish(&mut self, now: Micros, r: usize, end: End, acts: &mut dyn Actions) {
-        for p in self.held(r).parts.clone() {
-            if self.part_of(p).out > 0 {
+        for p in self.book.held(r).parts.clone() {
+            if self.book.part(p).out > 0 {
                 self.withdraw(p, acts);
             }
         }
         acts.finish(r, end);
-        let (grade, admitted) = (self.held(r).grade, self.held(r).admitted);
+        let (grade, admitted) = (self.book.held(r).grade, self.book.held(r).admitted);
         if let (End::Whole, Some(at)) = (end, admitted) {
             if self.spans.len() <= grade {
                 self.spans.resize(grade + 1, Samples::new(32));
@@ -506,7 +485,6 @@
     }
 
     fn close(&mut self, r: usize) {
-        self.held_mut(r).ended = true;
         self.open.retain(|&x| x != r);
         self.ended.push(r);
     }
@@ -567,7 +545,7 @@
 
     /// Answer: what the part now is.
     fn mark(&mut self, p: usize, outcome: Outcome) {
-        let part = self.part_mut(p);
+        let part = self.book.part_mut(p);
         part.out -= 1;
         match outcome {
             Outcome::Ok => part.done = !part.lost,
@@ -662,20 +640,12 @@
                 self.nodes[n].ready &= seen.contains(&n);
             }
         }
-        let cells = self.number("shards.cells", 1.0).max(1.0) as usize;
-        self.cells = vec![Vec::new(); cells];
-        for n in 0..self.nodes.len() {
-            self.cells[self.nodes[n].cell % cells].push(n);
-        }
     }
 
     fn retrieval(
         &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, _again: bool,
     ) {
-        if self.retrievals.len() <= r {
-            self.retrievals.resize(r + 1, None);
-        }
         let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
         let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch) as Micros;
         if self.tenants.len() <= tenant {
@@ -685,39 +655,13 @@
         let quota =
             self.number(&format!("tenant.{tenant}.per_s"), f64::INFINITY) / self.number("routers", 1.0);
         let over_share = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
-        let held = Retrieval {
-            over_share,
-            grade,
-            agreed: agreed.min(until),
-            until,
-            parts: Vec::new(),
-            step: 0,
-            first_whole: false,
-            admitted: None,
-            ended: false,
-        };
-        self.retrievals[r] = Some(held);
+        self.book.open(r, Retrieval::new(grade, over_share, agreed.min(until), until));
         self.open.push(r);
         self.taken.push(now, 1.0);
     }
 
     fn part(&mut self, now: Micros, r: usize, p: usize, shard: usize, weight: f64, _work: Micros) {
-        if self.parts.len() <= p {
-            self.parts.resize(p + 1, None);
-        }
-        self.parts[p] = Some(Part {
-            retrieval: r,
-            shard,
-            weight,
-            shots: Vec::new(),
-            out: 0,
-            sent_at: 0,
-            may_have_run: None,
-            proven: 0,
-            done: false,
-            lost: false,
-        });
-        self.held_mut(r).parts.push(p);
+        self.book.add(p, Part::new(r, shard, weight));
         self.taken.push(now, 1.0);
     }
 
@@ -727,14 +671,14 @@
     ) {
         let Some(at) = self.nodes[n].out.iter().position(|s| s.part == p && s.trial == trial) else { return };
         self.nodes[n].out.remove(at);
-        let grade = self.held(self.part_of(p).retrieval).grade;
+        let grade = self.book.held(self.book.part(p).retrieval).grade;
         self.learn(now, n, grade, outcome, lag);
         self.free(now, n, grade, outcome, lag);
         self.mark(p, outcome);
     }
 
     fn client_left(&mut self, _now: Micros, r: usize) {
-        if self.retrievals.get(r).is_some_and(|held| held.as_ref().is_some_and(|h| !h.ended)) {
+        if self.open.contains(&r) {
             self.close(r);
         }
     }
@@ -761,9 +705,9 @@
         self.learn_usual(now);
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
-            self.open.iter().partition(|&&r| self.held(r).admitted.is_some());
+            self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
         // What a tenant asks beyond its share waits behind the rest.
-        waiting.sort_by_key(|&r| self.held(r).over_share);
+        waiting.sort_by_key(|&r| self.book.held(r).over_share);
         for r in sent.into_iter().chain(waiting) {
             for stage in CHAIN {
                 match stage(self, now, r, acts) {
@@ -777,13 +721,12 @@
             }
         }
         for r in std::mem::take(&mut self.ended) {
-            let parts = self.held(r).parts.clone();
-            if parts.iter().any(|&p| self.part_of(p).out > 0) {
+            let parts = self.book.held(r).parts.clone();
+            if parts.iter().any(|&p| self.book.part(p).out > 0) {
                 self.ended.push(r);
                 continue;
             }
-            parts.iter().for_each(|&p| self.parts[p] = None);
-            self.retrievals[r] = None;
+            self.book.drop(r);
             acts.forget(r);
         }
         self.wake(now, acts);
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,5 +99,87 @@
     pub step: usize,
     pub first_whole: bool,
     pub admitted: Option<Micros>,
-    pub ended: bool,
+}
+
+impl Part {
+    pub fn new(retrieval: usize, shard: usize, weight: f64) -> Self {
+        Part {
+            retrieval,
+            shard,
+            weight,
+            shots: Vec::new(),
+            out: 0,
+            sent_at: 0,
+            may_have_run: None,
+            proven: 0,
+            done: false,
+            lost: false,
+        }
+    }
+}
+
+impl Retrieval {
+    pub fn new(grade: usize, over_share: bool, agreed: Micros, until: Micros) -> Self {
+        let parts = Vec::new();
+        Retrieval { grade, over_share, agreed, until, parts, step: 0, first_whole: false, admitted: None }
+    }
+}
+
+/// Retrievals and parts by their indices.
+#[derive(Default)]
+pub struct Book {
+    retrievals: Vec<Option<Retrieval>>,
+    parts: Vec<Option<Part>>,
+}
+
+impl Book {
+    pub fn part(&self, part: usize) -> &Part {
+        self.parts[part].as_ref().expect("a held part")
+    }
+
+    pub fn part_mut(&mut self, part: usize) -> &mut Part {
+        self.parts[part].as_mut().expect("a held part")
+    }
+
+    pub fn held(&self, retrieval: usize) -> &Retrieval {
+        self.retrievals[retrieval].as_ref().expect("a held retrieval")
+    }
+
+    pub fn held_mut(&mut self, retrieval: usize) -> &mut Retrieval {
+        self.retrievals[retrieval].as_mut().expect("a held retrieval")
+    }
+
+    pub fn open(&mut self, retrieval: usize, held: Retrieval) {
+        if self.retrievals.len() <= retrieval {
+            self.retrievals.resize(retrieval + 1, None);
+        }
+        self.retrievals[retrieval] = Some(held);
+    }
+
+    pub fn add(&mut self, part: usize, held: Part) {
+        if self.parts.len() <= part {
+            self.parts.resize(part + 1, None);
+        }
+        self.held_mut(held.retrieval).parts.push(part);
+        self.parts[part] = Some(held);
+    }
+
+    pub fn drop(&mut self, retrieval: usize) {
+        for part in self.retrievals[retrieval].take().map_or(Vec::new(), |held| held.parts) {
+            self.parts[part] = None;
+        }
+    }
+}
+
+/// Which cells hold a shard: as many in a row as the width, from the shard's own on.
+pub struct Shards {
+    pub cells: usize,
+    pub width: usize,
+}
+
+impl Shards {
+    pub fn hold(&self, cell: usize, shard: usize) -> bool {
+        let cells = self.cells.max(1);
+        (cell % cells + cells - shard % cells) % cells < self.width
+    }
 }
