--- a/src/balance.rs
+++ b/src/balance.rs
@@ -530,7 +530,7 @@
 
     /// Admission: a node's bound follows what its lags leave of the agreed time.
     fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
-        let target = 0.25 * self.grade(grade, "agreed_us", 1e6);
+        let target = 0.18 * self.grade(grade, "agreed_us", 1e6);
         let node = &mut self.nodes[n];
         let slow = lag as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
         if slow || outcome == Outcome::Full {
