--- a/src/balance.rs
+++ b/src/balance.rs
@@ -55,6 +55,8 @@
     spans: Vec<Samples>,
     /// By tenant, what it asked.
     tenants: Vec<Samples>,
+    /// By service grade, how long a try may last.
+    tries: Vec<Samples>,
     lags: Samples,
     taken: Samples,
     further: Samples,
@@ -83,6 +85,7 @@
             usual: None,
             spans: Vec::new(),
             tenants: Vec::new(),
+            tries: Vec::new(),
             lags: Samples::new(128),
             taken: Samples::new(1 << 16),
             further: Samples::new(1 << 12),
@@ -530,7 +533,7 @@
 
     /// Admission: a node's bound follows what its lags leave of the agreed time.
     fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
-        let target = 0.18 * self.grade(grade, "agreed_us", 1e6);
+        let target = 0.25 * self.grade(grade, "agreed_us", 1e6);
         let node = &mut self.nodes[n];
         let slow = lag as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
         if slow || outcome == Outcome::Full {
@@ -646,16 +649,29 @@
         &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, _again: bool,
     ) {
+        let sized =
+            |list: &mut Vec<Samples>, at: usize| list.resize(list.len().max(at + 1), Samples::new(64));
+        sized(&mut self.tries, grade);
+        sized(&mut self.tenants, tenant);
+        // Departure: a client asks again within one patience. Its last try lasts what is left of that, unlike
+        // the others, so it shows how much of the agreed time is gone. What cannot be in time waits behind.
+        let (left, patience) = ((until - now) as f64, self.grade(grade, "patience_us", 0.0));
+        let common = self.tries[grade].quantile(0.5, now - RECENT).unwrap_or(left);
+        self.tries[grade].push(now, left);
+        let odd = (left - common).abs() > 4.0 * self.number("tick_us", 0.0);
+        let spent = if odd { (patience - left).max(0.0) } else { 0.0 };
         let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
-        let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch) as Micros;
-        if self.tenants.len() <= tenant {
-            self.tenants.resize(tenant + 1, Samples::new(1 << 10));
-        }
-        self.tenants[tenant].push(now, 1.0);
+        let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch - spent) as Micros;
+        let late = agreed < now + self.span(now, grade);
+        // What a tenant asks beyond its share waits behind too.
         let quota =
             self.number(&format!("tenant.{tenant}.per_s"), f64::INFINITY) / self.number("routers", 1.0);
-        let over_share = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
-        self.book.open(r, Retrieval::new(grade, over_share, agreed.min(until), until));
+        self.tenants[tenant].push(now, 1.0);
+        let over = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
+        let rank = late as u8 + over as u8;
+        let pays_late = late && self.grade(grade, "late_share", 0.0) > 0.0;
+        let agreed = if pays_late { until } else { agreed.min(until) };
+        self.book.open(r, Retrieval::new(grade, rank, agreed, until));
         self.open.push(r);
         self.taken.push(now, 1.0);
     }
@@ -706,8 +722,7 @@
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
             self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
-        // What a tenant asks beyond its share waits behind the rest.
-        waiting.sort_by_key(|&r| self.book.held(r).over_share);
+        waiting.sort_by_key(|&r| self.book.held(r).rank);
         for r in sent.into_iter().chain(waiting) {
             for stage in CHAIN {
                 match stage(self, now, r, acts) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,8 +90,8 @@
 #[derive(Clone, Debug)]
 pub struct Retrieval {
     pub grade: usize,
-    /// Its tenant had asked for more than its share when it came.
-    pub over_share: bool,
+    /// Its place in the queue: the lowest goes first.
+    pub rank: u8,
     pub agreed: Micros,
     pub until: Micros,
     pub parts: Vec<usize>,
@@ -119,9 +119,9 @@
 }
 
 impl Retrieval {
-    pub fn new(grade: usize, over_share: bool, agreed: Micros, until: Micros) -> Self {
+    pub fn new(grade: usize, rank: u8, agreed: Micros, until: Micros) -> Self {
         let parts = Vec::new();
-        Retrieval { grade, over_share, agreed, until, parts, step: 0, first_whole: false, admitted: None }
+        Retrieval { grade, rank, agreed, until, parts, step: 0, first_whole: false, admitted: None }
     }
 }
 
