--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,6 +39,7 @@
 const CHAIN: [Stage; 5] =
     [Balance::reduce, Balance::time_left, Balance::admit, Balance::place, Balance::further];
 
+#[derive(Default)]
 pub struct Balance {
     settings: Settings,
     rng: fastrand::Rng,
@@ -74,28 +75,13 @@
         let whole = |name| settings.number(name).unwrap_or(1.0) as usize;
         let shards = Shards { cells: whole("shards.cells"), width: whole("shards.width") };
         Balance {
+            shards,
             settings,
             rng: fastrand::Rng::with_seed(seed),
-            nodes: Vec::new(),
-            shards,
-            book: Book::default(),
-            open: Vec::new(),
-            ended: Vec::new(),
-            claims: Vec::new(),
-            usual: None,
-            spans: Vec::new(),
-            tenants: Vec::new(),
-            tries: Vec::new(),
             lags: Samples::new(128),
             taken: Samples::new(1 << 16),
             further: Samples::new(1 << 12),
-            turns: 0,
-            listing: None,
-            subscribed: false,
-            ask_at: 0,
-            ask_failures: 0,
-            timer_at: None,
-            all_suspect: false,
+            ..Default::default()
         }
     }
 
@@ -194,7 +180,10 @@
         let held = self.book.held(r);
         let late = self.grade(held.grade, "late_share", 0.0);
         let over = match held.admitted {
-            None => now + self.span(now, held.grade) > held.agreed - self.margin(),
+            None => {
+                let end = if late > 0.0 { held.until } else { held.agreed };
+                now + self.span(now, held.grade) > end - self.margin()
+            }
             Some(_) => late <= 0.0 && now >= held.agreed,
         };
         if over || now >= held.until - self.margin() { self.doom(r) } else { Step::Pass }
@@ -662,16 +651,12 @@
         let spent = if odd { (patience - left).max(0.0) } else { 0.0 };
         let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
         let agreed = now + (self.grade(grade, "agreed_us", 1e6) + stretch - spent) as Micros;
-        let late = agreed < now + self.span(now, grade);
         // What a tenant asks beyond its share waits behind too.
         let quota =
             self.number(&format!("tenant.{tenant}.per_s"), f64::INFINITY) / self.number("routers", 1.0);
         self.tenants[tenant].push(now, 1.0);
         let over = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
-        let rank = late as u8 + over as u8;
-        let pays_late = late && self.grade(grade, "late_share", 0.0) > 0.0;
-        let agreed = if pays_late { until } else { agreed.min(until) };
-        self.book.open(r, Retrieval::new(grade, rank, agreed, until));
+        self.book.open(r, Retrieval::new(grade, over as u8, agreed.min(until), until));
         self.open.push(r);
         self.taken.push(now, 1.0);
     }
@@ -722,7 +707,10 @@
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
             self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
-        waiting.sort_by_key(|&r| self.book.held(r).rank);
+        waiting.sort_by_key(|&r| {
+            let held = self.book.held(r);
+            held.rank + (now + self.span(now, held.grade) > held.agreed) as u8
+        });
         for r in sent.into_iter().chain(waiting) {
             for stage in CHAIN {
                 match stage(self, now, r, acts) {
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -3,7 +3,7 @@
 use crate::Micros;
 use std::collections::VecDeque;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Samples {
     most: usize,
     items: VecDeque<(Micros, f64)>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,7 @@
 }
 
 /// Which cells hold a shard: as many in a row as the width, from the shard's own on.
+#[derive(Default)]
 pub struct Shards {
     pub cells: usize,
     pub width: usize,
