--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,6 +51,8 @@
     ended: Vec<usize>,
     /// By node, the parts of waiting retrievals that come before others there.
     claims: Vec<usize>,
+    /// The present instant.
+    now: Micros,
     usual: Option<[Micros; 3]>,
     /// By service grade, how long retrievals took from the first send to the answer.
     spans: Vec<Samples>,
@@ -341,7 +343,13 @@
 
     /// How many parts more a node may hold of this router's.
     fn room(&self, n: Node, planned: usize) -> usize {
-        (self.nodes[n].bound as usize).saturating_sub(self.nodes[n].out.len() + self.claims[n] + planned)
+        let (node, call) = (&self.nodes[n], self.number("calls.parts", 1.0).max(1.0) as usize);
+        let before = node.out.iter().filter(|s| s.at < self.now).count();
+        // A node that was filled opens again for a whole call, so that what waits for it shares the call's cost.
+        if node.filled && before > (node.bound as usize).saturating_sub(call) {
+            return 0;
+        }
+        (node.bound as usize).saturating_sub(node.out.len() + self.claims[n] + planned)
     }
 
     fn holders(&self, shard: usize) -> Vec<Node> {
@@ -415,7 +423,9 @@
         held.out += 1;
         held.sent_at = now;
         held.may_have_run.get_or_insert(now);
-        self.nodes[node].out.push(Shot { part, trial, at: now });
+        let to = &mut self.nodes[node];
+        to.out.push(Shot { part, trial, at: now });
+        to.filled = to.out.len() >= to.bound as usize;
         acts.send(part, node, 0);
     }
 
@@ -522,12 +532,13 @@
 
     /// Admission: a node's bound follows what its lags leave of the agreed time.
     fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
+        let least = self.number("calls.parts", 1.0).max(2.0);
         let target = 0.25 * self.grade(grade, "agreed_us", 1e6);
         let node = &mut self.nodes[n];
         let slow = lag as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
         if slow || outcome == Outcome::Full {
             if now - node.bound_moved > lag {
-                node.bound = (node.bound.min(node.out.len() as f64 + 1.0) * 0.8).max(2.0);
+                node.bound = (node.bound.min(node.out.len() as f64 + 1.0) * 0.8).max(least);
                 node.bound_moved = now;
             }
         } else if outcome == Outcome::Ok {
@@ -703,6 +714,7 @@
             ));
             self.all_suspect = suspect;
         }
+        self.now = now;
         self.learn_usual(now);
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,8 @@
     /// The most parts of this router's that it may hold, and when that last shrank.
     pub bound: f64,
     pub bound_moved: Micros,
+    /// The last send filled it to its bound.
+    pub filled: bool,
     pub out: Vec<Shot>,
     /// Lags of shots that ended in an answer, or lower bounds from those given up.
     pub lags: Samples,
@@ -54,6 +56,7 @@
             turn: 0,
             bound,
             bound_moved: 0,
+            filled: false,
             out: Vec::new(),
             lags: Samples::new(few),
             sent: Samples::new(many),
