--- a/src/balance.rs
+++ b/src/balance.rs
@@ -193,7 +193,7 @@
 
     /// How long a retrieval of the grade takes of late once it is sent.
     fn span(&self, now: Micros, grade: usize) -> Micros {
-        let span = self.spans.get(grade).and_then(|s| s.quantile(0.5, now - RECENT));
+        let span = self.spans.get(grade).and_then(|s| s.quantile(0.75, now - RECENT));
         span.map_or(0, |s| (s as Micros).min(self.grade(grade, "agreed_us", 1e6) as Micros / 2))
     }
 
