--- a/src/balance.rs
+++ b/src/balance.rs
@@ -719,6 +719,7 @@
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
             self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
+        waiting.reverse();
         waiting.sort_by_key(|&r| {
             let held = self.book.held(r);
             held.rank + (now + self.span(now, held.grade) > held.agreed) as u8
