--- a/src/balance.rs
+++ b/src/balance.rs
@@ -197,6 +197,14 @@
         span.map_or(0, |s| (s as Micros).min(self.grade(grade, "agreed_us", 1e6) as Micros / 2))
     }
 
+    /// What a part of a retrieval earns.
+    fn value(&self, r: usize) -> f64 {
+        let held = self.book.held(r);
+        let by_work = self.settings.text("importance_by") == "work";
+        let parts = if by_work { 1.0 } else { held.parts.len().max(1) as f64 };
+        self.grade(held.grade, "importance", 1.0) / parts
+    }
+
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
     fn admit(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
@@ -719,10 +727,10 @@
         self.claims = vec![0; self.nodes.len()];
         let (sent, mut waiting): (Vec<usize>, Vec<usize>) =
             self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
-        waiting.reverse();
         waiting.sort_by_key(|&r| {
             let held = self.book.held(r);
-            held.rank + (now + self.span(now, held.grade) > held.agreed) as u8
+            let late = now + self.span(now, held.grade) > held.agreed;
+            (held.rank + late as u8, Reverse((1e3 * self.value(r)) as i64))
         });
         for r in sent.into_iter().chain(waiting) {
             for stage in CHAIN {
