--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,6 +56,8 @@
     usual: Option<[Micros; 3]>,
     /// By service grade, how long retrievals took from the first send to the answer.
     spans: Vec<Samples>,
+    /// And whether they were answered in the agreed time.
+    served: Vec<Samples>,
     /// By tenant, what it asked.
     tenants: Vec<Samples>,
     /// By service grade, how long a try may last.
@@ -197,12 +199,13 @@
         span.map_or(0, |s| (s as Micros).min(self.grade(grade, "agreed_us", 1e6) as Micros / 2))
     }
 
-    /// What a part of a retrieval earns.
+    /// What a part of a retrieval earns, more where its grade was served badly of late: none is to starve.
     fn value(&self, r: usize) -> f64 {
         let held = self.book.held(r);
         let by_work = self.settings.text("importance_by") == "work";
         let parts = if by_work { 1.0 } else { held.parts.len().max(1) as f64 };
-        self.grade(held.grade, "importance", 1.0) / parts
+        let served = self.served.get(held.grade).and_then(|s| s.mean(self.now - RECENT)).unwrap_or(1.0);
+        self.grade(held.grade, "importance", 1.0) / parts / served.max(0.1)
     }
 
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
@@ -486,11 +489,10 @@
         acts.finish(r, end);
         let (grade, admitted) = (self.book.held(r).grade, self.book.held(r).admitted);
         if let (End::Whole, Some(at)) = (end, admitted) {
-            if self.spans.len() <= grade {
-                self.spans.resize(grade + 1, Samples::new(32));
-            }
             self.spans[grade].push(now, (now - at) as f64);
         }
+        let in_time = matches!(end, End::Whole | End::Part) && now <= self.book.held(r).agreed;
+        self.served[grade].push(now, in_time as u8 as f64);
         self.close(r);
     }
 
@@ -659,7 +661,7 @@
     ) {
         let sized =
             |list: &mut Vec<Samples>, at: usize| list.resize(list.len().max(at + 1), Samples::new(64));
-        sized(&mut self.tries, grade);
+        [&mut self.tries, &mut self.spans, &mut self.served].map(|list| sized(list, grade));
         sized(&mut self.tenants, tenant);
         // Departure: a client asks again within one patience. Its last try lasts what is left of that, unlike
         // the others, so it shows how much of the agreed time is gone. What cannot be in time waits behind.
