Tests; turns count within a fan-out; a lost part ends its retrieval at once

Found by the tests: a plan sent both parts of a retrieval to one node in one turn, a lost part was noticed a tick late, and suspicion of the whole fleet sent a second copy at once.

--- /dev/null
+++ b/crates/wirehost/tests/transcript.rs
@@ -0,0 +1,74 @@
+//! A short hand-written transcript through the binary, and lines that it must turn down.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const START: &str = "TURN\tatTimeNs=5000000000\n\
+INIT\trouter=router-1\tnonce64=7\tbootInfo={\"familyInfo\":{\"sets\":1,\"width\":1},\"services\":[{\"targetNs\":1000000000}]}\n\
+DIRECTORY\tlist=0\trows=1\n\
+ITEM\tnode=10.0.0.1:7000\tposition=0\tphase=ready\n\
+ROSTER_CHANGE\trouter=router-1\tlist=0\thow=disk\trevision=1\n\
+EOB\n";
+
+/// What the binary writes, what it says is wrong, and whether it ended well.
+fn run(input: &str) -> (String, String, bool) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_yewpier-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut stdin = child.stdin.take().expect("a pipe");
+    // The binary may end before it has read everything.
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    let out = child.wait_with_output().expect("the binary ends");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("UTF-8");
+    (text(out.stdout), text(out.stderr), out.status.success())
+}
+
+#[test]
+fn a_retrieval_is_served_and_the_end_of_input_is_a_clean_exit() {
+    let input = format!(
+        "{START}TURN\tatTimeNs=6000000000\n\
+         ACCEPT\trouter=router-1\topId=40\tlane=0\tquery=1\tshard=-1\theft=1\tvalidUntilNs=9000000000\n\
+         ACCEPT\trouter=router-1\topId=41\tlane=0\tquery=1\tshard=0\theft=1\tvalidUntilNs=9000000000\n\
+         EOB\n\
+         TURN\tatTimeNs=6100000000\n\
+         VERDICT\trouter=router-1\topId=41\ttrial=0\tnode=10.0.0.1:7000\tdisposition=Ok\tlagNs=99000000\tnew=1\n\
+         CANCELLED_BY_CLIENT\trouter=router-1\topId=99\n\
+         EOB\n\
+         TURN\tatTimeNs=6200000000\nHALT\trouter=router-1\nEOB\n"
+    );
+    let (out, err, well) = run(&input);
+    assert!(well, "{err}");
+    let shots: Vec<&str> = out.lines().filter(|l| !l.starts_with("NOTIFY_ME")).collect();
+    assert_eq!(
+        shots,
+        [
+            "READY",
+            "FORWARD\trouter=router-1\topId=41\tnode=10.0.0.1:7000\tallowForNs=0",
+            "READY",
+            "GATHER_UP\trouter=router-1\topId=40\ton=1",
+            "READY",
+            "READY"
+        ]
+    );
+}
+
+#[test]
+fn bad_lines_are_named_and_end_the_program() {
+    let cases = [
+        ("VERDICT\trouter=router-1\ttrial=x\n", "line 8: VERDICT: trial: 'x' is of the wrong type"),
+        ("TICK_DUE\trouter=router-1\n", "line 8: TICK_DUE: cookie: it is missing"),
+        ("TICK_DUE\trouter=router-2\tcookie=1\n", "router: 'router-2' is unknown"),
+        ("SURPRISE\trouter=router-1\n", "line 8: SURPRISE: unknown message"),
+        ("ROSTER_CHANGE\trouter=router-1\tlist=3\thow=diff\n", "list: 3 is unknown"),
+        ("DIRECTORY\tlist=0\trows=2\nEOB\n", "2 more ITEM lines were due"),
+        ("", "the input ended inside a batch"),
+    ];
+    for (line, why) in cases {
+        let (_, err, well) = run(&format!("{START}TURN\tatTimeNs=6000000000\n{line}"));
+        assert!(!well && err.contains(why), "{line} gave {err}");
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,8 +56,6 @@
     usual: Option<[Micros; 3]>,
     /// By service grade, how long retrievals took from the first send to the answer.
     spans: Vec<Samples>,
-    /// And whether they were answered in the agreed time.
-    served: Vec<Samples>,
     /// By tenant, what it asked.
     tenants: Vec<Samples>,
     /// By service grade, how long a try may last.
@@ -101,12 +99,12 @@
         self.number(&format!("grade.{grade}.{name}"), absent)
     }
 
+    fn call_parts(&self) -> usize {
+        self.number("calls.parts", 1.0).max(1.0) as usize
+    }
+
     fn effect(&self, grade: usize) -> Effect {
-        match self.settings.text(&format!("grade.{grade}.effect")) {
-            "pure" => Effect::Pure,
-            "receipted" => Effect::Receipted,
-            _ => Effect::Effectful,
-        }
+        Effect::named(self.settings.text(&format!("grade.{grade}.effect")))
     }
 
     /// Answers are sent this long before a limit, since the router acts on ticks.
@@ -199,13 +197,12 @@
         span.map_or(0, |s| (s as Micros).min(self.grade(grade, "agreed_us", 1e6) as Micros / 2))
     }
 
-    /// What a part of a retrieval earns, more where its grade was served badly of late: none is to starve.
+    /// What a part of a retrieval earns.
     fn value(&self, r: usize) -> f64 {
         let held = self.book.held(r);
         let by_work = self.settings.text("importance_by") == "work";
         let parts = if by_work { 1.0 } else { held.parts.len().max(1) as f64 };
-        let served = self.served.get(held.grade).and_then(|s| s.mean(self.now - RECENT)).unwrap_or(1.0);
-        self.grade(held.grade, "importance", 1.0) / parts / served.max(0.1)
+        self.grade(held.grade, "importance", 1.0) / parts
     }
 
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
@@ -234,11 +231,8 @@
     /// Sends the parts that have not been sent.
     fn place(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
-        let unsent: Vec<usize> = held.parts[held.step..]
-            .iter()
-            .copied()
-            .filter(|&p| self.book.part(p).shots.is_empty() && !self.book.part(p).lost)
-            .collect();
+        let mut unsent = held.parts[held.step..].to_vec();
+        unsent.retain(|&p| self.book.part(p).shots.is_empty());
         for (part, node) in self.plan(now, &unsent) {
             self.send(now, part, node, acts);
         }
@@ -249,45 +243,40 @@
     fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
         let (grade, agreed, step, parts) = (held.grade, held.agreed, held.step, held.parts.clone());
-        let patience = self.limit(grade);
+        let (patience, mut lost) = (self.limit(grade), false);
         for p in parts.into_iter().skip(step) {
             let part = self.book.part(p);
-            if part.done || part.lost || part.shots.is_empty() {
-                continue;
-            }
-            let last = *part.shots.last().expect("a shot");
-            let late = now - part.sent_at > patience || self.nodes[last].barred_until > now;
+            let Some(&last) = part.shots.last().filter(|_| !part.done && !part.lost) else { continue };
+            let late =
+                now - part.sent_at > patience || (self.nodes[last].barred_until > now && !self.all_suspect);
             let copy = part.out > 0;
             if copy && !(late && part.out < 2 && self.settings.flag("limits.second_copies")) {
                 continue;
             }
-            if part.shots.len() >= self.number("limits.shots", 1.0) as usize
-                || !self.may_run_again(now, p, grade, copy)
-            {
-                let lost = !copy;
-                self.book.part_mut(p).lost |= lost;
+            let spent = part.shots.len() >= self.number("limits.shots", 1.0) as usize;
+            if spent || !self.may_run_again(now, p, grade, copy) {
+                self.book.part_mut(p).lost = !copy;
+                lost |= !copy;
                 continue;
             }
-            let in_time = now + self.usual.map_or(0, |u| u[1]) < agreed;
-            if !in_time || !self.within_budget(now, copy) {
+            if now + self.usual.map_or(0, |u| u[1]) >= agreed || !self.within_budget(now, copy) {
                 continue;
             }
-            if let Some((node, care)) = self.pick(now, &[p], &[], false) {
-                let fresh = !self.book.part(p).shots.contains(&node);
-                if care >= SOUND && fresh || !copy && care >= OPEN {
-                    self.further.push(now, 1.0);
-                    self.send(now, p, node, acts);
-                }
+            let Some((node, care)) = self.pick(now, &[p], &[], false) else { continue };
+            let fresh = !self.book.part(p).shots.contains(&node);
+            if care >= SOUND && fresh || !copy && care >= OPEN {
+                self.further.push(now, 1.0);
+                self.send(now, p, node, acts);
             }
         }
-        Step::Pass
+        if lost { self.reduce(now, r, acts) } else { Step::Pass }
     }
 
     // ---- choice of node ----
 
     /// Nodes for the parts, by turns, parts that can share a call together; parts without one are left out.
     fn plan(&self, now: Micros, parts: &[usize]) -> Vec<(usize, Node)> {
-        let most = self.number("calls.parts", 1.0).max(1.0) as usize;
+        let most = self.call_parts();
         let (mut left, mut plan) = (parts.to_vec(), Vec::new());
         while !left.is_empty() {
             let Some((node, _)) = self.pick(now, &left, &plan, true).filter(|&(_, care)| care >= OPEN) else {
@@ -311,7 +300,7 @@
     /// carry most parts, and among those the one whose turn is longest ago.
     fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)], bound: bool) -> Option<(Node, u8)> {
         let part = self.book.part(left[0]);
-        let most = self.number("calls.parts", 1.0).max(1.0) as usize;
+        let most = self.call_parts();
         let holders = self.holders(part.shard);
         let grade = self.book.held(part.retrieval).grade;
         let rest: Vec<Node> = holders.iter().copied().filter(|n| !part.shots.contains(n)).collect();
@@ -332,7 +321,7 @@
                 .filter(|&n| care < NEAR || self.nodes[n].zone == self.micros("zone") as usize)
                 .min_by_key(|&n| {
                     let shared = left.iter().filter(|&&p| self.holds(n, self.book.part(p).shard)).count();
-                    (Reverse(shared.min(most)), self.nodes[n].turn)
+                    (Reverse(shared.min(most)), planned(n), self.nodes[n].turn)
                 })
                 .map(|n| (n, care))
         })
@@ -354,7 +343,7 @@
 
     /// How many parts more a node may hold of this router's.
     fn room(&self, n: Node, planned: usize) -> usize {
-        let (node, call) = (&self.nodes[n], self.number("calls.parts", 1.0).max(1.0) as usize);
+        let (node, call) = (&self.nodes[n], self.call_parts());
         let before = node.out.iter().filter(|s| s.at < self.now).count();
         // A node that was filled opens again for a whole call, so that what waits for it shares the call's cost.
         if node.filled && before > (node.bound as usize).saturating_sub(call) {
@@ -419,22 +408,15 @@
 
     fn send(&mut self, now: Micros, part: usize, node: Node, acts: &mut dyn Actions) {
         let grade = self.book.held(self.book.part(part).retrieval).grade;
-        let mut work = self.part_work(grade);
-        if self.nodes[node].out.last().is_none_or(|s| s.at < now) {
-            work += self.number("calls.work_us", 0.0);
+        let (mut work, call) = (self.part_work(grade), self.number("calls.work_us", 0.0));
+        let to = &mut self.nodes[node];
+        if to.out.last().is_none_or(|s| s.at < now) {
+            work += call;
             self.turns += 1;
         }
-        let turn = self.turns;
-        let to = &mut self.nodes[node];
-        to.turn = turn;
+        to.turn = self.turns;
         to.sent.push(now, work);
-        let held = self.book.part_mut(part);
-        let trial = held.shots.len();
-        held.shots.push(node);
-        held.out += 1;
-        held.sent_at = now;
-        held.may_have_run.get_or_insert(now);
-        let to = &mut self.nodes[node];
+        let trial = self.book.part_mut(part).sent(now, node);
         to.out.push(Shot { part, trial, at: now });
         to.filled = to.out.len() >= to.bound as usize;
         acts.send(part, node, 0);
@@ -445,12 +427,11 @@
         if !self.settings.flag("limits.withdraw") {
             return;
         }
-        let mut trials: Vec<usize> = self.book.part(part).shots.iter().enumerate().map(|s| s.0).collect();
-        trials.retain(|&t| {
-            let node = self.book.part(part).shots[t];
-            self.nodes[node].out.iter().any(|s| s.part == part && s.trial == t)
-        });
-        trials.into_iter().for_each(|t| acts.withdraw(part, t));
+        for (trial, &n) in self.book.part(part).shots.iter().enumerate() {
+            if self.nodes[n].out.iter().any(|s| s.part == part && s.trial == trial) {
+                acts.withdraw(part, trial);
+            }
+        }
     }
 
     /// Proof that it never ran frees any part for another shot; without it only what may be repeated.
@@ -482,17 +463,18 @@
 
     fn finish(&mut self, now: Micros, r: usize, end: End, acts: &mut dyn Actions) {
         for p in self.book.held(r).parts.clone() {
-            if self.book.part(p).out > 0 {
+            if self.book.part(p).out > 0 && !self.book.part(p).done {
                 self.withdraw(p, acts);
             }
         }
         acts.finish(r, end);
         let (grade, admitted) = (self.book.held(r).grade, self.book.held(r).admitted);
         if let (End::Whole, Some(at)) = (end, admitted) {
+            if self.spans.len() <= grade {
+                self.spans.resize(grade + 1, Samples::new(32));
+            }
             self.spans[grade].push(now, (now - at) as f64);
         }
-        let in_time = matches!(end, End::Whole | End::Part) && now <= self.book.held(r).agreed;
-        self.served[grade].push(now, in_time as u8 as f64);
         self.close(r);
     }
 
@@ -542,7 +524,7 @@
 
     /// Admission: a node's bound follows what its lags leave of the agreed time.
     fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
-        let least = self.number("calls.parts", 1.0).max(2.0);
+        let least = self.call_parts().max(2) as f64;
         let target = 0.25 * self.grade(grade, "agreed_us", 1e6);
         let node = &mut self.nodes[n];
         let slow = lag as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
@@ -578,24 +560,19 @@
 
     // ---- list and timers ----
 
-    /// Subscribes where the list must be asked for, again after a failure, later each time.
-    fn follow_list(&mut self, now: Micros, acts: &mut dyn Actions) {
-        if self.settings.text("list.mode") == "asked" && !self.subscribed && now >= self.ask_at {
+    /// Subscribes where the list must be asked for, after a failure again and later each time. Keeps a timer
+    /// running while a retrieval is open, so that no end depends on an answer.
+    fn wake(&mut self, now: Micros, acts: &mut dyn Actions) {
+        let asks = self.settings.text("list.mode") == "asked" && !self.subscribed;
+        if asks && now >= self.ask_at {
             acts.subscribe(true);
             self.ask_at = now + self.micros("rules.ask_within_us").max(1_000_000);
         }
-    }
-
-    /// Keeps a timer running while a retrieval is open, so that no end depends on an answer.
-    fn wake(&mut self, now: Micros, acts: &mut dyn Actions) {
-        let tick = self.micros("tick_us").max(1_000);
-        let asks = self.settings.text("list.mode") == "asked" && !self.subscribed;
-        let at = if !self.open.is_empty() {
-            now + tick
-        } else if asks {
-            self.ask_at.max(now + tick)
-        } else {
-            return;
+        let next = now + self.micros("tick_us").max(1_000);
+        let at = match (self.open.is_empty(), asks) {
+            (false, _) => next,
+            (true, true) => self.ask_at.max(next),
+            (true, false) => return,
         };
         if self.timer_at.is_none_or(|t| t > at || t <= now) {
             acts.set_timer(at - now, 0);
@@ -661,7 +638,7 @@
     ) {
         let sized =
             |list: &mut Vec<Samples>, at: usize| list.resize(list.len().max(at + 1), Samples::new(64));
-        [&mut self.tries, &mut self.spans, &mut self.served].map(|list| sized(list, grade));
+        sized(&mut self.tries, grade);
         sized(&mut self.tenants, tenant);
         // Departure: a client asks again within one patience. Its last try lasts what is left of that, unlike
         // the others, so it shows how much of the agreed time is gone. What cannot be in time waits behind.
@@ -712,7 +689,6 @@
     }
 
     fn settle(&mut self, now: Micros, acts: &mut dyn Actions) {
-        self.follow_list(now, acts);
         // Departure: evidence against most of the fleet is evidence of something else, so nobody is barred.
         let barred = self.nodes.iter().filter(|n| n.ready && n.barred_until > now).count();
         let suspect = 2 * barred > self.ready_nodes();
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -1,1 +1,308 @@
+//! Each test builds the state that it needs and calls one function.
+
 use super::*;
+
+/// Writes down what the module asks for.
+#[derive(Default)]
+struct Tape(Vec<String>);
+
+impl Actions for Tape {
+    fn send(&mut self, part: usize, node: Node, _allow: Micros) {
+        self.0.push(format!("send {part} {node}"));
+    }
+    fn withdraw(&mut self, part: usize, trial: usize) {
+        self.0.push(format!("withdraw {part} {trial}"));
+    }
+    fn finish(&mut self, retrieval: usize, end: End) {
+        self.0.push(format!("{retrieval} {end:?}"));
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.0.push(format!("subscribe {on}"));
+    }
+}
+
+const NOW: Micros = 100_000_000;
+
+/// A router with one grade, two cells and nodes 0 and 1 that each hold every shard.
+fn router(effect: &str, more: &[(&str, f64)]) -> Balance {
+    let mut settings = Settings::default();
+    settings.set("grade.0.effect", crate::Value::Text(effect.into()));
+    settings.set("limits.second_copies", crate::Value::Flag(true));
+    settings.set("limits.withdraw", crate::Value::Flag(true));
+    let base =
+        [("shards.cells", 2.0), ("shards.width", 2.0), ("grade.0.agreed_us", 1e6), ("limits.shots", 3.0)];
+    for (name, value) in base.iter().chain(more) {
+        settings.set(name, crate::Value::Number(*value));
+    }
+    let mut router = Balance::new(1, settings);
+    list(&mut router, Listing::Disk, &[(0, Phase::Ready, 0), (1, Phase::Ready, 0)]);
+    router
+}
+
+fn list(router: &mut Balance, listing: Listing, rows: &[(Node, Phase, Micros)]) -> Tape {
+    let mut tape = Tape::default();
+    router.list_begins(NOW, listing);
+    rows.iter().for_each(|&(n, phase, up)| router.listed(NOW, n, 0, n, phase, 1.0, up));
+    router.list_ends(NOW, &mut tape);
+    tape
+}
+
+/// Retrieval `r` with parts `r + 1 ..`, all of shard 0.
+fn ask(router: &mut Balance, r: usize, parts: usize) {
+    router.retrieval(NOW, r, 0, 0, NOW + 3_000_000, 0, parts, false);
+    (0..parts).for_each(|i| router.part(NOW, r, r + 1 + i, 0, 1.0 / parts as f64, 0));
+}
+
+fn settle(router: &mut Balance, at: Micros) -> Vec<String> {
+    let mut tape = Tape::default();
+    router.settle(at, &mut tape);
+    tape.0
+}
+
+/// Asks for one part, lets its first shot (to node 0) end in `outcome`, and settles.
+fn after(router: &mut Balance, outcome: Outcome, at: Micros) -> Vec<String> {
+    ask(router, 10, 1);
+    assert_eq!(settle(router, NOW), ["send 11 0"]);
+    router.outcome(at, 11, 0, 0, outcome, at - NOW, &[]);
+    settle(router, at)
+}
+
+#[test]
+fn a_retrieval_is_fanned_out_by_turns_and_whole_once_all_parts_are_in() {
+    let mut router = router("pure", &[]);
+    ask(&mut router, 0, 2);
+    assert_eq!(settle(&mut router, NOW), ["send 1 0", "send 2 1"]);
+    router.outcome(NOW + 9, 1, 0, 0, Outcome::Ok, 9, &[]);
+    assert!(settle(&mut router, NOW + 9).is_empty());
+    router.outcome(NOW + 10, 2, 0, 1, Outcome::Ok, 10, &[]);
+    assert_eq!(settle(&mut router, NOW + 10), ["0 Whole"]);
+}
+
+#[test]
+fn parts_share_a_call_where_calls_carry_several() {
+    let mut router = router("pure", &[("calls.parts", 4.0)]);
+    ask(&mut router, 0, 2);
+    assert_eq!(settle(&mut router, NOW), ["send 1 0", "send 2 0"]);
+}
+
+#[test]
+fn proof_that_a_part_never_ran_earns_an_effectful_part_another_shot() {
+    for outcome in [Outcome::Full, Outcome::Unreachable] {
+        assert_eq!(after(&mut router("effectful", &[]), outcome, NOW + 5), ["send 11 1"]);
+    }
+}
+
+#[test]
+fn without_proof_an_effectful_retrieval_is_given_up() {
+    for outcome in [Outcome::Error, Outcome::Broken, Outcome::Overdue] {
+        assert_eq!(after(&mut router("effectful", &[]), outcome, NOW + 5), ["10 GivenUp"]);
+    }
+}
+
+#[test]
+fn a_pure_part_is_tried_elsewhere_whatever_ended_its_shot() {
+    for outcome in [Outcome::Error, Outcome::Broken, Outcome::Overdue] {
+        assert_eq!(after(&mut router("pure", &[]), outcome, NOW + 5), ["send 11 1"]);
+    }
+}
+
+#[test]
+fn a_receipted_part_is_sent_again_only_while_repeats_are_dropped() {
+    let repeat = [("grade.0.repeat_us", 500_000.0)];
+    assert_eq!(after(&mut router("receipted", &repeat), Outcome::Broken, NOW + 400_000), ["send 11 1"]);
+    assert_eq!(after(&mut router("receipted", &repeat), Outcome::Broken, NOW + 499_000), ["10 GivenUp"]);
+}
+
+#[test]
+fn shots_end_at_the_limit_and_a_pure_retrieval_is_then_deferred() {
+    let mut router = router("pure", &[("limits.shots", 1.0)]);
+    assert_eq!(after(&mut router, Outcome::Broken, NOW + 5), ["10 Deferred(0)"]);
+}
+
+#[test]
+fn further_shots_stay_within_the_budget_of_the_window() {
+    let mut router = router("pure", &[("rules.further_share", 0.5), ("rules.further_window_us", 1e6)]);
+    router.taken.push(NOW, 2.0);
+    assert!(router.within_budget(NOW + 999_999, false));
+    router.further.push(NOW, 1.0);
+    assert!(!router.within_budget(NOW + 999_999, false));
+}
+
+#[test]
+fn a_floor_allows_an_answer_at_the_agreed_time_never_marked_whole() {
+    let floor = [("grade.0.floor", 0.5), ("grade.0.part_share", 0.8)];
+    let mut router = router("pure", &floor);
+    ask(&mut router, 0, 2);
+    settle(&mut router, NOW);
+    router.outcome(NOW + 9, 1, 0, 0, Outcome::Ok, 9, &[]);
+    assert!(settle(&mut router, NOW + 500_000).iter().all(|line| !line.contains("Part")));
+    let end = settle(&mut router, NOW + 999_000);
+    assert_eq!(end.last().map(String::as_str), Some("0 Part"));
+}
+
+#[test]
+fn under_the_floor_nothing_is_answered_and_the_end_comes_before_patience() {
+    let mut router = router("effectful", &[("grade.0.floor", 0.6), ("grade.0.late_share", 0.3)]);
+    ask(&mut router, 0, 2);
+    settle(&mut router, NOW);
+    router.outcome(NOW + 9, 1, 0, 0, Outcome::Ok, 9, &[]);
+    assert!(settle(&mut router, NOW + 2_990_000).is_empty());
+    assert_eq!(settle(&mut router, NOW + 2_999_000), ["withdraw 2 0", "0 GivenUp"]);
+}
+
+#[test]
+fn a_second_step_needs_all_its_parts() {
+    let mut router = router("pure", &[("grade.0.second_step", 1.0)]);
+    ask(&mut router, 0, 1);
+    settle(&mut router, NOW);
+    router.outcome(NOW + 5, 1, 0, 0, Outcome::Ok, 5, &[]);
+    assert_eq!(settle(&mut router, NOW + 5), ["0 Whole"]);
+    router.part(NOW + 6, 0, 2, 0, 1.0, 0);
+    assert_eq!(settle(&mut router, NOW + 6), ["send 2 1"]);
+    router.outcome(NOW + 9, 2, 0, 1, Outcome::Ok, 3, &[]);
+    assert_eq!(settle(&mut router, NOW + 9), ["0 Whole"]);
+}
+
+#[test]
+fn a_retrieval_waits_whole_at_the_bound_and_is_deferred_unsent_in_the_end() {
+    let mut router = router("effectful", &[]);
+    ask(&mut router, 0, 12);
+    assert_eq!(settle(&mut router, NOW).len(), 12);
+    ask(&mut router, 20, 6);
+    assert!(settle(&mut router, NOW).is_empty(), "four places are left for six parts");
+    assert_eq!(settle(&mut router, NOW + 999_000).last().map(String::as_str), Some("20 Deferred(0)"));
+}
+
+#[test]
+fn an_overdue_node_is_skipped_and_its_part_copied() {
+    let mut router = router("pure", &[("grade.0.late_share", 0.3)]);
+    (0..16).for_each(|_| router.lags.push(NOW, 100_000.0));
+    ask(&mut router, 0, 1);
+    assert_eq!(settle(&mut router, NOW), ["send 1 0"]);
+    assert!(settle(&mut router, NOW + 200_000).is_empty());
+    assert_eq!(settle(&mut router, NOW + 201_000), ["send 1 1"]);
+    router.outcome(NOW + 300_000, 1, 1, 1, Outcome::Ok, 99_000, &[]);
+    assert_eq!(settle(&mut router, NOW + 300_000), ["withdraw 1 0", "0 Whole"]);
+}
+
+#[test]
+fn an_effectful_part_goes_to_no_node_that_failed_of_late() {
+    let mut router = router("effectful", &[]);
+    router.nodes[0].strikes = 1;
+    ask(&mut router, 0, 1);
+    assert_eq!(settle(&mut router, NOW), ["send 1 1"]);
+}
+
+#[test]
+fn a_failing_node_is_barred_for_longer_each_time_and_free_once_it_restarts() {
+    let mut router = router("pure", &[]);
+    router.learn(NOW, 0, 0, Outcome::Broken, 5);
+    router.learn(NOW, 0, 0, Outcome::Broken, 5);
+    assert_eq!((router.nodes[0].strikes, router.nodes[0].barred_until), (1, NOW + 500_000));
+    router.learn(NOW + 500_000, 0, 0, Outcome::Broken, 5);
+    assert_eq!(router.nodes[0].barred_until, NOW + 1_500_000);
+    list(&mut router, Listing::Changes, &[(0, Phase::Ready, NOW)]);
+    assert_eq!(router.nodes[0].barred_until, 0);
+}
+
+#[test]
+fn a_full_node_is_left_alone_until_it_answers() {
+    let mut router = router("pure", &[]);
+    router.learn(NOW, 0, 0, Outcome::Full, 5);
+    assert!(!router.fits(NOW + 50_000, 0, OPEN, 0));
+    router.all_suspect = true;
+    assert!(!router.fits(NOW + 50_000, 0, OPEN, 0), "no suspicion of the whole fleet lifts it");
+    router.learn(NOW + 60_000, 0, 0, Outcome::Ok, 5);
+    assert!(router.fits(NOW + 60_000, 0, OPEN, 0));
+}
+
+#[test]
+fn evidence_against_most_nodes_bars_none() {
+    let mut router = router("pure", &[]);
+    (0..2).for_each(|n| router.learn(NOW, n, 0, Outcome::Broken, 5));
+    ask(&mut router, 0, 1);
+    assert_eq!(settle(&mut router, NOW), ["send 1 0"]);
+}
+
+#[test]
+fn lags_near_the_agreed_time_shrink_a_nodes_bound() {
+    let mut router = router("pure", &[]);
+    router.free(NOW, 0, 0, Outcome::Ok, 600_000);
+    assert!(router.nodes[0].bound < 3.0);
+    router.free(NOW + 1, 0, 0, Outcome::Ok, 100_000);
+    assert!(router.nodes[0].bound > 2.0);
+}
+
+#[test]
+fn a_filled_node_opens_again_for_a_whole_call() {
+    let mut router = router("pure", &[("calls.parts", 4.0)]);
+    ask(&mut router, 0, 8);
+    settle(&mut router, NOW);
+    ask(&mut router, 20, 8);
+    assert_eq!(settle(&mut router, NOW).len(), 8);
+    router.now = NOW + 9;
+    (1..4).for_each(|p| router.outcome(NOW + 9, p, 0, 0, Outcome::Ok, 9, &[]));
+    assert_eq!(router.room(0, 0), 0);
+    router.outcome(NOW + 9, 4, 0, 0, Outcome::Ok, 9, &[]);
+    assert_eq!(router.room(0, 0), 4);
+}
+
+#[test]
+fn a_draining_or_missing_node_gets_nothing_new() {
+    let mut router = router("pure", &[]);
+    list(&mut router, Listing::Changes, &[(0, Phase::Draining, 0)]);
+    assert_eq!(router.holders(0), [1]);
+    list(&mut router, Listing::Whole, &[(0, Phase::Ready, 0)]);
+    assert_eq!(router.holders(0), [0]);
+    list(&mut router, Listing::Failed, &[]);
+    assert_eq!(router.holders(0), [0], "the old list is kept");
+}
+
+#[test]
+fn a_cold_node_gets_no_more_than_this_routers_share() {
+    let cold = [("rules.warm_up_us", 1e7), ("rules.tip_after_us", 3e6), ("rules.cold_from", 0.2)];
+    let mut router = router("pure", &cold);
+    router.settings.set("rules.tip_multiple", crate::Value::Number(2.0));
+    router.settings.set("routers", crate::Value::Number(3.0));
+    list(&mut router, Listing::Changes, &[(0, Phase::Ready, NOW)]);
+    // 2 x 0.2 x 3 s / 3 is 400 ms of work; a part is taken for 100 ms until lags are known.
+    assert!(router.cold_room(NOW, 0, 4, 0) && !router.cold_room(NOW, 0, 5, 0));
+    router.nodes[0].sent.push(NOW, 100_001.0);
+    assert!(!router.cold_room(NOW, 0, 3, 0) && router.cold_room(NOW + 10_000_000, 0, 3, 0));
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_again_later_after_a_failure() {
+    let mut router = router("pure", &[("rules.ask_within_us", 1e7)]);
+    router.settings.set("list.mode", crate::Value::Text("asked".into()));
+    assert_eq!(settle(&mut router, NOW), ["subscribe true"]);
+    list(&mut router, Listing::Failed, &[]);
+    assert!(settle(&mut router, NOW + 499_000).is_empty());
+    assert_eq!(settle(&mut router, NOW + 1_500_000), ["subscribe true"]);
+    list(&mut router, Listing::Changes, &[]);
+    assert!(settle(&mut router, NOW + 60_000_000).is_empty());
+}
+
+#[test]
+fn the_last_try_of_a_client_shows_how_much_of_the_agreed_time_is_gone() {
+    let mut router = router("pure", &[("grade.0.patience_us", 3e6)]);
+    router.retrieval(NOW, 0, 0, 0, NOW + 2_000_000, 0, 1, false);
+    assert_eq!(router.book.held(0).agreed, NOW + 1_000_000);
+    router.retrieval(NOW, 1, 0, 0, NOW + 2_500_000, 0, 1, false);
+    assert_eq!(router.book.held(1).agreed, NOW + 500_000);
+}
+
+#[test]
+fn what_a_tenant_asks_beyond_its_share_waits_behind() {
+    let mut router = router("pure", &[("tenant.0.per_s", 1.0)]);
+    (0..4).for_each(|r| router.retrieval(NOW, r, 0, 0, NOW + 3_000_000, 0, 1, false));
+    assert_eq!((router.book.held(2).rank, router.book.held(3).rank), (0, 1));
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left() {
+    let mut router = router("pure", &[]);
+    ask(&mut router, 0, 1);
+    router.client_left(NOW, 0);
+    assert!(settle(&mut router, NOW).is_empty());
+}
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -34,11 +34,6 @@
         self.since(from).sum()
     }
 
-    pub fn mean(&self, from: Micros) -> Option<f64> {
-        let count = self.count(from);
-        (count > 0).then(|| self.sum(from) / count as f64)
-    }
-
     /// The value below which the share `q` of the samples since `from` lies.
     pub fn quantile(&self, q: f64, from: Micros) -> Option<f64> {
         let mut values: Vec<f64> = self.since(from).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,17 @@
     Effectful,
 }
 
+impl Effect {
+    /// The kind under its name; an unknown one is taken for the strictest.
+    pub fn named(name: &str) -> Self {
+        match name {
+            "pure" => Effect::Pure,
+            "receipted" => Effect::Receipted,
+            _ => Effect::Effectful,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Shot {
     pub part: usize,
@@ -121,6 +132,17 @@
     }
 }
 
+impl Part {
+    /// Notes a shot; its number.
+    pub fn sent(&mut self, now: Micros, node: Node) -> usize {
+        self.shots.push(node);
+        self.out += 1;
+        self.sent_at = now;
+        self.may_have_run.get_or_insert(now);
+        self.shots.len() - 1
+    }
+}
+
 impl Retrieval {
     pub fn new(grade: usize, rank: u8, agreed: Micros, until: Micros) -> Self {
         let parts = Vec::new();
