--- a/src/balance.rs
+++ b/src/balance.rs
@@ -213,15 +213,18 @@
         }
         let (parts, floor) = (held.parts.clone(), self.grade(held.grade, "floor", 1.0));
         let plan = self.plan(now, &parts);
-        let sure: f64 = plan.iter().map(|&(p, _)| self.book.part(p).weight).sum();
-        // Departure: a shard without a sound holder does not hold up what its floor lets go without it.
-        if plan.len() < parts.len() && (floor >= 1.0 || sure < floor) {
+        let missing = parts.into_iter().filter(|p| !plan.iter().any(|x| x.0 == *p));
+        let (mut sure, mut waits) = (1.0, false);
+        for p in missing {
+            sure -= self.book.part(p).weight;
             // What it waits for is kept for it, so that smaller retrievals do not pass it there for ever.
-            for p in parts.into_iter().filter(|p| !plan.iter().any(|x| x.0 == *p)) {
-                if let Some((n, OPEN..)) = self.pick(now, &[p], &[], false) {
-                    self.claims[n] += 1;
-                }
+            if let Some((n, OPEN..)) = self.pick(now, &[p], &[], false) {
+                self.claims[n] += 1;
+                waits = true;
             }
+        }
+        // Departure: a shard without an open holder does not hold up what its floor lets go without it.
+        if waits || sure + 1e-5 < floor {
             return Step::Keep;
         }
         self.book.held_mut(r).admitted = Some(now);
