--- a/src/balance.rs
+++ b/src/balance.rs
@@ -184,7 +184,7 @@
         let over = match held.admitted {
             None => {
                 let end = if late > 0.0 { held.until } else { held.agreed };
-                now + self.span(now, held.grade) > end - self.margin()
+                now + self.usual.map_or(0, |u| u[1]) > end - self.margin()
             }
             Some(_) => late <= 0.0 && now >= held.agreed,
         };
@@ -213,18 +213,15 @@
         }
         let (parts, floor) = (held.parts.clone(), self.grade(held.grade, "floor", 1.0));
         let plan = self.plan(now, &parts);
-        let missing = parts.into_iter().filter(|p| !plan.iter().any(|x| x.0 == *p));
-        let (mut sure, mut waits) = (1.0, false);
-        for p in missing {
-            sure -= self.book.part(p).weight;
+        let sure: f64 = plan.iter().map(|&(p, _)| self.book.part(p).weight).sum();
+        // Departure: what its floor lets be answered without the rest may go; the rest follows with room.
+        if plan.len() < parts.len() && (floor >= 1.0 || sure < floor) {
             // What it waits for is kept for it, so that smaller retrievals do not pass it there for ever.
-            if let Some((n, OPEN..)) = self.pick(now, &[p], &[], false) {
-                self.claims[n] += 1;
-                waits = true;
+            for p in parts.into_iter().filter(|p| !plan.iter().any(|x| x.0 == *p)) {
+                if let Some((n, OPEN..)) = self.pick(now, &[p], &[], false) {
+                    self.claims[n] += 1;
+                }
             }
-        }
-        // Departure: a shard without an open holder does not hold up what its floor lets go without it.
-        if waits || sure + 1e-5 < floor {
             return Step::Keep;
         }
         self.book.held_mut(r).admitted = Some(now);
