--- a/src/balance.rs
+++ b/src/balance.rs
@@ -184,7 +184,7 @@
         let over = match held.admitted {
             None => {
                 let end = if late > 0.0 { held.until } else { held.agreed };
-                now + self.usual.map_or(0, |u| u[1]) > end - self.margin()
+                now + self.span(now, held.grade) > end - self.margin()
             }
             Some(_) => late <= 0.0 && now >= held.agreed,
         };
@@ -393,8 +393,8 @@
         let age = (now - window - node.up_since).max(0) as f64;
         let capacity = cold + (1.0 - cold) * age / warm_up as f64;
         // Cores are told nowhere: one is the least a node has.
-        let room = self.number("rules.tip_multiple", 1.0).min(2.0) * capacity * window as f64
-            / self.number("routers", 1.0);
+        let room =
+            self.number("rules.tip_multiple", 1.0) * capacity * window as f64 / self.number("routers", 1.0);
         let work = parts as f64 * self.part_work(grade) + self.number("calls.work_us", 0.0);
         node.sent.sum(now - window) + work <= room
     }
