--- a/src/balance.rs
+++ b/src/balance.rs
@@ -174,7 +174,13 @@
         let held = self.book.held(r);
         let ran = held.parts.iter().any(|&p| self.book.part(p).may_have_run.is_some());
         let harmless = !ran || self.effect(held.grade) == Effect::Pure;
-        Step::End(if harmless { End::Deferred(0) } else { End::GivenUp })
+        // What could not even be sent tells the client to stay away, where clients are told so.
+        let wait = if held.admitted.is_none() && self.settings.flag("limits.stay_away") {
+            "limits.stay_away_us"
+        } else {
+            ""
+        };
+        Step::End(if harmless { End::Deferred(self.micros(wait)) } else { End::GivenUp })
     }
 
     /// Ends what ran out of time: unsent work that can no longer be in time, sent work that pays no more.
