--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! The decisions of yewpier: one `Balance` decides for one router, alone, from its settings and its own events.
+//! The decisions of yewpier: one `Balance` decides for one router, from its settings and its own events.
 //!
 //! A front calls the methods of `Events` for what came in at an instant, then `settle`, and carries out the
 //! `Actions` that it is handed; both traits are in `lib.rs`, the plain records in `state.rs`. In `settle`
@@ -175,12 +175,9 @@
         let ran = held.parts.iter().any(|&p| self.book.part(p).may_have_run.is_some());
         let harmless = !ran || self.effect(held.grade) == Effect::Pure;
         // What could not even be sent tells the client to stay away, where clients are told so.
-        let wait = if held.admitted.is_none() && self.settings.flag("limits.stay_away") {
-            "limits.stay_away_us"
-        } else {
-            ""
-        };
-        Step::End(if harmless { End::Deferred(self.micros(wait)) } else { End::GivenUp })
+        let told = self.settings.flag("limits.stay_away") && held.admitted.is_none();
+        let wait = told as Micros * self.micros("limits.stay_away_us");
+        Step::End(if harmless { End::Deferred(wait) } else { End::GivenUp })
     }
 
     /// Ends what ran out of time: unsent work that can no longer be in time, sent work that pays no more.
@@ -351,7 +348,7 @@
     fn room(&self, n: Node, planned: usize) -> usize {
         let (node, call) = (&self.nodes[n], self.call_parts());
         let before = node.out.iter().filter(|s| s.at < self.now).count();
-        // A node that was filled opens again for a whole call, so that what waits for it shares the call's cost.
+        // Departure: a filled node opens again for a whole call, so that what waits shares the call's cost.
         if node.filled && before > (node.bound as usize).saturating_sub(call) {
             return 0;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -114,7 +114,7 @@
         parts: usize, again: bool,
     );
     fn part(&mut self, now: Micros, retrieval: usize, part: usize, shard: usize, weight: f64, work: Micros);
-    /// Shot number `trial` of a part is over, `lag` after it was sent; `load` holds the node's report, if any.
+    /// Shot number `trial` of a part is over, `lag` after it was sent; `load` is the node's report, if any.
     #[allow(clippy::too_many_arguments)]
     fn outcome(
         &mut self, now: Micros, part: usize, trial: usize, node: Node, outcome: Outcome, lag: Micros,
@@ -135,7 +135,7 @@
 /// What the module asks of a front. What a front cannot do it may leave out.
 #[allow(unused_variables)]
 pub trait Actions {
-    /// Sends a part's next shot; sends of one `settle` to one node share a call. `allow` 0: until patience ends.
+    /// Sends a part's next shot; sends of one `settle` to one node share a call. `allow` 0: while patience lasts.
     fn send(&mut self, part: usize, node: Node, allow: Micros);
     fn withdraw(&mut self, part: usize, trial: usize) {}
     /// The final answer; with a second step, its first `Whole` or `Part` brings further parts instead.
