--- a/src/balance.rs
+++ b/src/balance.rs
@@ -22,7 +22,7 @@
 const SHARE_WINDOW: Micros = 3_000_000;
 /// The longest that a full node is left alone.
 const FULL_HOLD: Micros = 1_000_000;
-/// How much care the choice of a node takes, from the most to the least; see `fits`.
+/// How much care the choice of a node takes, from the most to the least; see `state`.
 const NEAR: u8 = 4;
 const EVEN: u8 = 3;
 const SOUND: u8 = 2;
@@ -310,38 +310,37 @@
         let holders = if rest.is_empty() { holders } else { rest };
         let planned = |n: Node| plan.iter().filter(|x| x.1 == n).count();
         let finish = |n: Node| self.pace(now, n) * (1.0 + (self.nodes[n].out.len() + planned(n)) as f64);
-        let sound: Vec<Node> = holders.iter().copied().filter(|&n| self.fits(now, n, SOUND, grade)).collect();
-        let usual = self.usual.map_or(0, |u| u[1]) as f64;
-        let best = sound.iter().map(|&n| finish(n)).fold(f64::INFINITY, f64::min);
-        (0..=NEAR).rev().find_map(|care| {
-            holders
-                .iter()
-                .copied()
-                .filter(|&n| !bound || self.room(n, planned(n)) > 0)
-                .filter(|&n| self.cold_room(now, n, planned(n) + 1, grade))
-                .filter(|&n| self.fits(now, n, care.min(SOUND), grade))
-                .filter(|&n| care < EVEN || finish(n) <= 2.0 * best + usual)
-                .filter(|&n| care < NEAR || self.nodes[n].zone == self.micros("zone") as usize)
-                .min_by_key(|&n| {
-                    let shared = left.iter().filter(|&&p| self.holds(n, self.book.part(p).shard)).count();
-                    (Reverse(shared.min(most)), planned(n), self.nodes[n].turn)
-                })
-                .map(|n| (n, care))
-        })
-    }
-
-    /// Whether a node is good enough: `SOUND` nothing overdue and not being tried again already, `OPEN` not
-    /// barred; 0 anyone listed as ready.
-    fn fits(&self, now: Micros, n: Node, care: u8, grade: usize) -> bool {
+        let (limit, effectful) = (self.limit(grade), self.effect(grade) == Effect::Effectful);
+        let rated: Vec<(Node, u8, f64)> =
+            holders.into_iter().map(|n| (n, self.state(now, n, limit, effectful), finish(n))).collect();
+        let best = rated.iter().filter(|x| x.1 == SOUND).map(|x| x.2).fold(f64::INFINITY, f64::min);
+        let (usual, zone) = (self.usual.map_or(0, |u| u[1]) as f64, self.micros("zone") as usize);
+        let care = |&(n, state, finish): &(Node, u8, f64)| match state {
+            SOUND if finish <= 2.0 * best + usual => EVEN + (self.nodes[n].zone == zone) as u8,
+            _ => state,
+        };
+        rated
+            .iter()
+            .filter(|&&(n, ..)| !bound || self.room(n, planned(n)) > 0)
+            .filter(|&&(n, ..)| self.cold_room(now, n, planned(n) + 1, grade))
+            .min_by_key(|&x| {
+                let shared = left.iter().filter(|&&p| self.holds(x.0, self.book.part(p).shard)).count();
+                (Reverse(care(x)), Reverse(shared.min(most)), planned(x.0), self.nodes[x.0].turn)
+            })
+            .map(|x| (x.0, care(x)))
+    }
+
+    /// How good a node is: `SOUND` with nothing overdue and not being tried again already, `OPEN` if not
+    /// barred, else 0.
+    fn state(&self, now: Micros, n: Node, limit: Micros, effectful: bool) -> u8 {
         let node = &self.nodes[n];
-        let barred = node.barred_until > now && !self.all_suspect;
-        if !node.ready || (care >= OPEN && (barred || node.full_until > now)) {
-            return false;
+        if (node.barred_until > now && !self.all_suspect) || node.full_until > now {
+            return 0;
         }
-        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade));
+        let overdue = node.oldest_out().is_some_and(|at| now - at > limit);
         // An effectful part cannot be helped by another shot, so its first choice must be proven.
-        let doubt = node.strikes > 0 && (!node.out.is_empty() || self.effect(grade) == Effect::Effectful);
-        care < SOUND || !(overdue || doubt)
+        let doubt = node.strikes > 0 && (!node.out.is_empty() || effectful);
+        if overdue || doubt { OPEN } else { SOUND }
     }
 
     /// How many parts more a node may hold of this router's.
@@ -387,8 +386,8 @@
     /// This router's share of what a cold node can take in the rule's window, all its sends counted.
     fn cold_room(&self, now: Micros, n: Node, parts: usize, grade: usize) -> bool {
         let node = &self.nodes[n];
-        let warm_up = self.micros("rules.warm_up_us");
-        if node.up_since <= 0 || now - node.up_since >= warm_up {
+        let warm_up = if node.up_since > 0 { self.micros("rules.warm_up_us") } else { 0 };
+        if now - node.up_since >= warm_up {
             return true;
         }
         let window = self.micros("rules.tip_after_us");
