--- a/src/balance.rs
+++ b/src/balance.rs
@@ -316,7 +316,8 @@
         let best = rated.iter().filter(|x| x.1 == SOUND).map(|x| x.2).fold(f64::INFINITY, f64::min);
         let (usual, zone) = (self.usual.map_or(0, |u| u[1]) as f64, self.micros("zone") as usize);
         let care = |&(n, state, finish): &(Node, u8, f64)| match state {
-            SOUND if finish <= 2.0 * best + usual => EVEN + (self.nodes[n].zone == zone) as u8,
+            SOUND if finish > 2.0 * best + usual => SOUND,
+            SOUND => [EVEN, NEAR][(self.nodes[n].zone == zone) as usize],
             _ => state,
         };
         rated
