Plan once at admission; one way to grow sample lists; one impl of Part

admit and place worked out the same plan twice in one instant; admit now sends what it planned and place keeps to parts that had no room and second steps. Samples::at replaces three ways to grow a list by index.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -209,7 +209,7 @@
     }
 
     /// Bounds the parts in flight; a retrieval is admitted with all its parts or waits unsent.
-    fn admit(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
+    fn admit(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
         if held.admitted.is_some() {
             return Step::Pass;
@@ -228,12 +228,16 @@
             return Step::Keep;
         }
         self.book.held_mut(r).admitted = Some(now);
+        plan.into_iter().for_each(|(part, node)| self.send(now, part, node, acts));
         Step::Pass
     }
 
-    /// Sends the parts that have not been sent.
+    /// Sends the parts that had no room when their retrieval was admitted, and those of a second step.
     fn place(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
+        if held.admitted == Some(now) {
+            return Step::Pass;
+        }
         let mut unsent = held.parts[held.step..].to_vec();
         unsent.retain(|&p| self.book.part(p).shots.is_empty());
         for (part, node) in self.plan(now, &unsent) {
@@ -473,10 +477,7 @@
         acts.finish(r, end);
         let (grade, admitted) = (self.book.held(r).grade, self.book.held(r).admitted);
         if let (End::Whole, Some(at)) = (end, admitted) {
-            if self.spans.len() <= grade {
-                self.spans.resize(grade + 1, Samples::new(32));
-            }
-            self.spans[grade].push(now, (now - at) as f64);
+            Samples::at(&mut self.spans, grade, 32).push(now, (now - at) as f64);
         }
         self.close(r);
     }
@@ -639,15 +640,12 @@
         &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, _again: bool,
     ) {
-        let sized =
-            |list: &mut Vec<Samples>, at: usize| list.resize(list.len().max(at + 1), Samples::new(64));
-        sized(&mut self.tries, grade);
-        sized(&mut self.tenants, tenant);
         // Departure: a client asks again within one patience. Its last try lasts what is left of that, unlike
         // the others, so it shows how much of the agreed time is gone. What cannot be in time waits behind.
         let (left, patience) = ((until - now) as f64, self.grade(grade, "patience_us", 0.0));
-        let common = self.tries[grade].quantile(0.5, now - RECENT).unwrap_or(left);
-        self.tries[grade].push(now, left);
+        let tries = Samples::at(&mut self.tries, grade, 64);
+        let common = tries.quantile(0.5, now - RECENT).unwrap_or(left);
+        tries.push(now, left);
         let odd = (left - common).abs() > 4.0 * self.number("tick_us", 0.0);
         let spent = if odd { (patience - left).max(0.0) } else { 0.0 };
         let stretch = self.grade(grade, "agreed_stretch", 0.0) * work as f64;
@@ -655,8 +653,9 @@
         // What a tenant asks beyond its share waits behind too.
         let quota =
             self.number(&format!("tenant.{tenant}.per_s"), f64::INFINITY) / self.number("routers", 1.0);
-        self.tenants[tenant].push(now, 1.0);
-        let over = self.tenants[tenant].sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
+        let asked = Samples::at(&mut self.tenants, tenant, 64);
+        asked.push(now, 1.0);
+        let over = asked.sum(now - SHARE_WINDOW) > quota * SHARE_WINDOW as f64 / 1e6;
         self.book.open(r, Retrieval::new(grade, over as u8, agreed.min(until), until));
         self.open.push(r);
         self.taken.push(now, 1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,9 +130,7 @@
             lost: false,
         }
     }
-}
 
-impl Part {
     /// Notes a shot; its number.
     pub fn sent(&mut self, now: Micros, node: Node) -> usize {
         self.shots.push(node);
