--- /dev/null
+++ b/crates/router/src/clients.rs
@@ -0,0 +1,253 @@
+//! Connections of clients: requests in, answers out, one at a time on each.
+
+use crate::config::{Config, numbered};
+use crate::effects::{Conn, Effect};
+use crate::http::{self, Request};
+use crate::query::Terms;
+use crate::reducer::{Desk, Kind, Router};
+use yewpier::{Events, Micros};
+
+/// How long a connection that was closed gently is still read.
+const LINGER: Micros = 1_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Hand {
+    Empty,
+    /// A request has begun to come in.
+    Begun,
+    Retrieval(usize),
+    /// An answer is being written.
+    Answer,
+    /// Closed by us; what still comes is disregarded.
+    Leaving,
+}
+
+#[derive(Debug)]
+pub struct Client {
+    pub hand: Hand,
+    since: Micros,
+    /// It is closed after the answer in hand.
+    last: bool,
+}
+
+impl Client {
+    pub fn idle_since(&self) -> Option<Micros> {
+        (self.hand == Hand::Empty).then_some(self.since)
+    }
+}
+
+pub struct Clients {
+    pub count: usize,
+    /// Those that arrived and wait for a socket to become free.
+    held_back: usize,
+    /// The longest patience of any service grade: how long a client may take to send or to read.
+    longest: Micros,
+    /// The most retrievals and parts held at a time.
+    most_held: Option<usize>,
+    terms: Terms,
+}
+
+impl Clients {
+    pub fn new(config: &Config) -> Clients {
+        let settings = &config.settings;
+        let grades = numbered(settings, "grade");
+        let patience = (0..grades.len()).map(|g| config.micros(&format!("grade.{g}.patience_us")));
+        Clients {
+            count: 0,
+            held_back: 0,
+            longest: patience.max().unwrap_or(0),
+            most_held: settings.number("limits.held").map(|most| most as usize).filter(|&most| most > 0),
+            terms: Terms {
+                grades,
+                tenants: numbered(settings, "tenant"),
+                shards: config.whole("shards.count"),
+            },
+        }
+    }
+}
+
+impl Desk {
+    pub fn arrived(&mut self) {
+        self.clients.held_back += 1;
+        self.counters.clients_arrived += 1;
+        self.adopt();
+    }
+
+    /// Takes on those that arrived, as far as there are sockets.
+    fn adopt(&mut self) {
+        while self.clients.held_back > 0 {
+            let client = Client { hand: Hand::Empty, since: self.now, last: false };
+            let Some(conn) = self.open(Kind::Client(client)) else {
+                self.counters.clients_held_back += 1;
+                return;
+            };
+            (self.clients.held_back, self.clients.count) =
+                (self.clients.held_back - 1, self.clients.count + 1);
+            self.effects.push(Effect::Adopt(conn));
+            if self.closing {
+                self.wake_at(conn, Some(self.now + LINGER));
+            }
+        }
+    }
+
+    pub fn client(&mut self, conn: Conn) -> &mut Client {
+        match &mut self.peers[conn].kind {
+            Kind::Client(client) => client,
+            _ => unreachable!("the connection of a client"),
+        }
+    }
+
+    pub fn close_client(&mut self, conn: Conn) {
+        self.close(conn);
+        self.clients.count -= 1;
+        self.adopt();
+    }
+
+    /// Closes between requests so that one which crosses the close meets no reset: its client asks again.
+    fn leave(&mut self, conn: Conn) {
+        self.client(conn).hand = Hand::Leaving;
+        self.effects.push(Effect::Finish(conn));
+        self.wake_at(conn, Some(self.now + LINGER));
+    }
+
+    pub fn close_idle_clients(&mut self) {
+        self.closing = true;
+        let idle = |(conn, peer): (Conn, &crate::reducer::Peer)| match &peer.kind {
+            Kind::Client(client) if client.hand == Hand::Empty => Some(conn),
+            _ => None,
+        };
+        let idle: Vec<Conn> = self.peers.iter().filter_map(idle).collect();
+        idle.into_iter().for_each(|conn| self.leave(conn));
+    }
+
+    pub fn client_alarm(&mut self, conn: Conn) {
+        match self.client(conn).hand {
+            Hand::Begun => {
+                self.client(conn).last = true;
+                self.say(conn, 408, "the request took too long to come");
+            }
+            Hand::Empty => self.leave(conn),
+            Hand::Retrieval(_) => {}
+            Hand::Answer | Hand::Leaving => self.close_client(conn),
+        }
+    }
+
+    pub fn answer_flushed(&mut self, conn: Conn) {
+        let (stopping, now) = (self.stopping, self.now);
+        let client = self.client(conn);
+        if client.hand != Hand::Answer {
+            return;
+        }
+        if client.last || stopping {
+            return self.leave(conn);
+        }
+        (client.hand, client.since) = (Hand::Empty, now);
+        self.wake_at(conn, None);
+        self.effects.push(Effect::Read(conn));
+    }
+
+    /// Writes an answer; the client has as long to read it as it may wait for one.
+    pub fn reply(&mut self, conn: Conn, status: u16, kind: &str, body: Vec<u8>, advice: Option<Micros>) {
+        let (stopping, longest, now) = (self.stopping, self.clients.longest, self.now);
+        let client = self.client(conn);
+        client.hand = Hand::Answer;
+        let last = client.last || stopping;
+        let head = http::head(status, kind, body.len(), advice.map(|wait| wait as f64 / 1e6), last);
+        self.effects.push(Effect::Write(conn, vec![head.into_bytes().into(), body.into()]));
+        self.wake_at(conn, Some(now + longest));
+    }
+
+    fn say(&mut self, conn: Conn, status: u16, line: &str) {
+        self.reply(conn, status, "text/plain", format!("{line}\n").into_bytes(), None);
+    }
+}
+
+impl Router {
+    pub fn client_received(&mut self, conn: Conn, bytes: &[u8]) {
+        let (now, longest) = (self.desk.now, self.desk.clients.longest);
+        let client = self.desk.client(conn);
+        match client.hand {
+            Hand::Retrieval(_) | Hand::Answer => return,
+            Hand::Leaving => return self.desk.effects.push(Effect::Taken(conn, bytes.len())),
+            Hand::Empty | Hand::Begun => {}
+        }
+        match http::request(bytes) {
+            Ok(None) if bytes.is_empty() || client.hand == Hand::Begun => {}
+            Ok(None) => {
+                client.hand = Hand::Begun;
+                self.desk.wake_at(conn, Some(now + longest));
+            }
+            Ok(Some(request)) => {
+                client.last = request.last;
+                self.desk.effects.push(Effect::Taken(conn, request.length));
+                self.desk.wake_at(conn, None);
+                self.request(conn, &request);
+            }
+            Err((status, why)) => {
+                client.last = true;
+                self.desk.effects.push(Effect::Taken(conn, bytes.len()));
+                self.desk.counters.requests_bad += 1;
+                self.desk.say(conn, status, why);
+            }
+        }
+    }
+
+    fn request(&mut self, conn: Conn, request: &Request) {
+        let path = request.path.split('?').next().unwrap_or("");
+        let due = match path {
+            "/api" => "POST",
+            "/-/ready" | "/-/healthy" | "/-/counters" => "GET",
+            _ => return self.desk.say(conn, 404, "nothing is served under this path"),
+        };
+        if request.method != due {
+            return self.desk.say(conn, 405, &format!("this path takes {due}"));
+        }
+        match path {
+            "/-/ready" if self.desk.stopping => self.desk.say(conn, 503, "ending"),
+            "/-/counters" => {
+                let lines = self.desk.counters.lines();
+                self.desk.reply(conn, 200, "text/plain", lines.into_bytes(), None);
+            }
+            "/api" => self.query(conn, request),
+            _ => self.desk.say(conn, 200, "OK"),
+        }
+    }
+
+    fn query(&mut self, conn: Conn, request: &Request) {
+        let desk = &mut self.desk;
+        let query = match desk.clients.terms.query(request) {
+            Ok(query) if !desk.gather.holds(request.id) => query,
+            other => {
+                desk.counters.requests_bad += 1;
+                let why = other.err().unwrap_or("a retrieval with this X-Trace-Id is in hand");
+                return desk.say(conn, 400, why);
+            }
+        };
+        if desk.clients.most_held.is_some_and(|most| desk.gather.open >= most) {
+            desk.counters.retrievals_over_limit += 1;
+            return desk.say(conn, 503, "too many retrievals are in hand");
+        }
+        let (now, until) = (desk.now, desk.now + query.patience);
+        desk.counters.retrievals_taken += 1;
+        let retrieval = desk.gather.open(request.id, conn, until, query.text);
+        desk.client(conn).hand = Hand::Retrieval(retrieval);
+        let work = query.segments.iter().map(|s| s.2).sum();
+        let (grade, parts) = (query.grade, query.segments.len());
+        self.balance.retrieval(now, retrieval, grade, query.tenant, until, work, parts, request.again);
+        for (shard, weight, work) in query.segments {
+            let part = self.desk.gather.add(retrieval, shard);
+            self.balance.part(now, retrieval, part, shard, weight, work);
+        }
+        self.desk.unsettled = true;
+    }
+
+    pub fn client_ended(&mut self, conn: Conn) {
+        if let Hand::Retrieval(retrieval) = self.desk.client(conn).hand {
+            self.desk.gather.leave(retrieval);
+            self.desk.counters.retrievals_left_by_client += 1;
+            self.balance.client_left(self.desk.now, retrieval);
+            self.desk.unsettled = true;
+        }
+        self.desk.close_client(conn);
+    }
+}
--- /dev/null
+++ b/crates/router/src/effects.rs
@@ -0,0 +1,52 @@
+//! What the loop tells the reducer and what the reducer asks of the loop. Both are plain values.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use yewpier::Micros;
+
+/// The index of a connection; the reducer hands it out and may use it again once it was closed.
+pub type Conn = usize;
+/// Bytes to be written, shared where several connections get the same.
+pub type Piece = Rc<[u8]>;
+
+#[derive(Debug)]
+pub enum Event<'a> {
+    /// A client has connected; `Effect::Adopt` answers it, later if there is no room.
+    Arrived,
+    /// A connection asked for is up.
+    Up(Conn),
+    /// All bytes that came in on a connection and were not taken yet.
+    Received(Conn, &'a [u8]),
+    /// All that was to be written has been.
+    Flushed(Conn),
+    /// The other side closed, it broke, or it never came up; so many bytes had been written by then.
+    Ended(Conn, u64),
+    /// Time has passed.
+    Alarm,
+    /// The process is to stop.
+    Terminate,
+    /// The counters are wanted.
+    Report,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// The client that arrived first is this connection from now on.
+    Adopt(Conn),
+    Connect(Conn, SocketAddr),
+    /// So many of the received bytes are done with.
+    Taken(Conn, usize),
+    /// Tell once more what has been received and not taken.
+    Read(Conn),
+    Write(Conn, Vec<Piece>),
+    /// No more is written, what comes is still read.
+    Finish(Conn),
+    /// Closed here and forgotten.
+    Close(Conn),
+    /// Closed here; `Event::Ended` then says how much had been written.
+    Break(Conn),
+    /// Wake the reducer at this time, in place of the time before.
+    Timer(Option<Micros>),
+    Report(String),
+    Exit,
+}
--- /dev/null
+++ b/crates/router/src/gather.rs
@@ -0,0 +1,132 @@
+//! What is in hand of each retrieval, and the answers to clients.
+
+use crate::effects::{Conn, Piece};
+use crate::reducer::Desk;
+use serde_json::{Value as Json, json};
+use slab::Slab;
+use std::collections::HashMap;
+use std::rc::Rc;
+use yewpier::{End, Micros, Node};
+
+#[derive(Debug)]
+pub struct Retrieval {
+    id: Rc<str>,
+    /// Where the answer goes, until it was given or the client left.
+    client: Option<Conn>,
+    pub until: Micros,
+    pub text: Piece,
+    parts: Vec<usize>,
+    pub ended: bool,
+}
+
+#[derive(Debug)]
+pub struct Part {
+    /// Its id on the sockets.
+    pub id: Rc<str>,
+    pub retrieval: usize,
+    pub shard: usize,
+    /// What a data node gave for it.
+    pub value: Option<String>,
+    pub shots: Vec<Shot>,
+}
+
+#[derive(Debug)]
+pub struct Shot {
+    pub node: Node,
+    pub at: Micros,
+    /// When the router stops waiting for it.
+    pub until: Micros,
+    /// The connection that it waits for or went out on.
+    pub link: Option<Conn>,
+    pub over: bool,
+}
+
+#[derive(Default)]
+pub struct Gather {
+    pub retrievals: Slab<Retrieval>,
+    pub parts: Slab<Part>,
+    by_id: HashMap<Rc<str>, usize>,
+    /// Retrievals without a final answer and their parts.
+    pub open: usize,
+}
+
+impl Gather {
+    pub fn holds(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    pub fn open(&mut self, id: &str, client: Conn, until: Micros, text: String) -> usize {
+        let (id, text): (Rc<str>, Piece) = (id.into(), text.into_bytes().into());
+        let client = Some(client);
+        let held = Retrieval { id: id.clone(), client, until, text, parts: Vec::new(), ended: false };
+        let retrieval = self.retrievals.insert(held);
+        self.by_id.insert(id, retrieval);
+        self.open += 1;
+        retrieval
+    }
+
+    pub fn add(&mut self, retrieval: usize, shard: usize) -> usize {
+        let held = &mut self.retrievals[retrieval];
+        let id = format!("{}.{shard}", held.id).into();
+        let part = self.parts.insert(Part { id, retrieval, shard, value: None, shots: Vec::new() });
+        held.parts.push(part);
+        self.open += 1;
+        part
+    }
+
+    /// The client has left: there is no one to answer.
+    pub fn leave(&mut self, retrieval: usize) {
+        let held = &mut self.retrievals[retrieval];
+        if !std::mem::replace(&mut held.ended, true) {
+            self.open -= 1 + held.parts.len();
+        }
+        held.client = None;
+    }
+
+    /// The answer's body: the parts that are in, as data nodes gave them.
+    fn body(&self, retrieval: usize, whole: bool) -> (Vec<u8>, usize) {
+        let parts = self.retrievals[retrieval].parts.iter().map(|&part| &self.parts[part]);
+        let matches: Vec<Json> = parts
+            .filter_map(|p| p.value.as_ref().map(|v| json!({"segment": p.shard, "payload": v})))
+            .collect();
+        let count = matches.len();
+        (json!({"all_in": whole, "matches": matches}).to_string().into_bytes(), count)
+    }
+}
+
+impl Desk {
+    /// Gives a retrieval its final answer.
+    pub fn answer(&mut self, retrieval: usize, end: End) {
+        let client = self.gather.retrievals[retrieval].client;
+        self.gather.leave(retrieval);
+        let Some(conn) = client else { return };
+        let count = match end {
+            End::Whole => &mut self.counters.finished_whole,
+            End::Part => &mut self.counters.finished_part,
+            End::Deferred(_) => &mut self.counters.deferred,
+            End::GivenUp => &mut self.counters.given_up,
+        };
+        *count += 1;
+        match end {
+            End::Whole | End::Part => {
+                let (body, _) = self.gather.body(retrieval, end == End::Whole);
+                self.reply(conn, 200, "application/json", body, None);
+            }
+            End::Deferred(wait) => {
+                let advice = Some(wait).filter(|&wait| wait > 0);
+                self.reply(conn, 503, "text/plain", b"deferred\n".to_vec(), advice);
+            }
+            End::GivenUp => self.reply(conn, 502, "text/plain", b"given up\n".to_vec(), None),
+        }
+    }
+
+    /// All is over for a retrieval: its indices are free again.
+    pub fn drop_retrieval(&mut self, retrieval: usize) {
+        let Some(held) = self.gather.retrievals.try_remove(retrieval) else { return };
+        self.gather.by_id.remove(&held.id);
+        for part in held.parts {
+            let part = self.gather.parts.remove(part);
+            part.shots.iter().filter_map(|shot| shot.link).for_each(|conn| self.unstale(conn, &part.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/http.rs
@@ -0,0 +1,202 @@
+//! HTTP/1.1 heads and bodies: requests of clients and answers of discovery, parsed where they lie.
+
+use std::borrow::Cow;
+use std::ops::Range;
+
+/// The protocol's limit on a body, and ours on a head and on its fields.
+pub const MOST_BODY: usize = 64 * 1024;
+pub const MOST_HEAD: usize = 16 * 1024;
+const MOST_FIELDS: usize = 64;
+
+/// What is wrong with a request: a status and one plain line.
+pub type Bad = (u16, &'static str);
+
+/// A request whose last byte is in. Fields that were not sent are empty.
+#[derive(Debug, Default)]
+pub struct Request<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub body: Cow<'a, [u8]>,
+    pub id: &'a str,
+    pub grade: &'a str,
+    pub tenant: &'a str,
+    pub patience: &'a str,
+    pub again: bool,
+    /// The client will not use the connection again.
+    pub last: bool,
+    /// How many bytes it took.
+    pub length: usize,
+}
+
+/// How a body's end is known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Framing {
+    Length(usize),
+    Chunks,
+    /// It ends with the connection.
+    Open,
+}
+
+/// A step through a body in chunks.
+#[derive(Debug, PartialEq)]
+pub enum Chunk {
+    More,
+    /// Where the data lies, and where the next chunk begins.
+    Data(Range<usize>, usize),
+    /// The body is over; where the next message begins.
+    Last(usize),
+}
+
+/// The chunk at the start of `bytes`.
+pub fn chunk(bytes: &[u8]) -> Result<Chunk, Bad> {
+    const WRONG: Bad = (400, "the body's chunks are malformed");
+    let (head, size) = match httparse::parse_chunk_size(bytes) {
+        Ok(httparse::Status::Complete(found)) => found,
+        Ok(httparse::Status::Partial) if bytes.len() < MOST_HEAD => return Ok(Chunk::More),
+        _ => return Err(WRONG),
+    };
+    if size == 0 {
+        // Trailers are read and disregarded.
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        return match httparse::parse_headers(&bytes[head..], &mut fields) {
+            Ok(httparse::Status::Complete((trailers, _))) => Ok(Chunk::Last(head + trailers)),
+            Ok(httparse::Status::Partial) if bytes.len() < MOST_HEAD => Ok(Chunk::More),
+            _ => Err(WRONG),
+        };
+    }
+    if size > MOST_BODY as u64 {
+        return Err((413, "the body is over 64 KiB"));
+    }
+    let end = head + size as usize;
+    match bytes.get(end..end + 2) {
+        None => Ok(Chunk::More),
+        Some(b"\r\n") => Ok(Chunk::Data(head..end, end + 2)),
+        Some(_) => Err(WRONG),
+    }
+}
+
+/// How the body behind these fields is framed; without any word of it, `otherwise`.
+fn framing(fields: &[httparse::Header], otherwise: Framing) -> Result<Framing, Bad> {
+    let mut found = None;
+    for field in fields {
+        let next = if field.name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(field.value).unwrap_or("").trim();
+            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            let length = digits.then(|| text.parse().unwrap_or(usize::MAX));
+            Framing::Length(length.ok_or((400, "Content-Length is not a whole number"))?)
+        } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !field.value.eq_ignore_ascii_case(b"chunked") {
+                return Err((501, "only the transfer encoding 'chunked' is known"));
+            }
+            Framing::Chunks
+        } else {
+            continue;
+        };
+        if found.is_some_and(|f| f != next) {
+            return Err((400, "the body's length is stated twice"));
+        }
+        found = Some(next);
+    }
+    Ok(found.unwrap_or(otherwise))
+}
+
+fn has_word(value: &[u8], word: &str) -> bool {
+    let text = std::str::from_utf8(value).unwrap_or("");
+    text.split(',').any(|part| part.trim().eq_ignore_ascii_case(word))
+}
+
+/// The request at the start of `bytes`, once it is whole.
+pub fn request(bytes: &[u8]) -> Result<Option<Request<'_>>, Bad> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let start = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) if length <= MOST_HEAD => length,
+        Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err((431, "the head is too large")),
+        Err(_) => return Err((400, "the head is malformed")),
+    };
+    let mut request = Request {
+        method: head.method.unwrap_or(""),
+        path: head.path.unwrap_or(""),
+        last: head.version == Some(0),
+        ..Default::default()
+    };
+    for field in head.headers.iter() {
+        let text = std::str::from_utf8(field.value).unwrap_or("").trim();
+        match field.name {
+            name if name.eq_ignore_ascii_case("x-trace-id") => request.id = text,
+            name if name.eq_ignore_ascii_case("x-qos") => request.grade = text,
+            name if name.eq_ignore_ascii_case("x-customer") => request.tenant = text,
+            name if name.eq_ignore_ascii_case("x-expires-in-ms") => request.patience = text,
+            name if name.eq_ignore_ascii_case("x-second-try") => request.again = text == "1",
+            name if name.eq_ignore_ascii_case("connection") => {
+                request.last =
+                    has_word(field.value, "close") || request.last && !has_word(field.value, "keep-alive");
+            }
+            _ => {}
+        }
+    }
+    match framing(head.headers, Framing::Length(0))? {
+        Framing::Chunks => {
+            let (mut body, mut at) = (Vec::new(), start);
+            loop {
+                match chunk(&bytes[at..])? {
+                    Chunk::More if at - start > 2 * MOST_BODY => break,
+                    Chunk::More => return Ok(None),
+                    Chunk::Data(data, next) => {
+                        body.extend_from_slice(&bytes[at..][data]);
+                        at += next;
+                    }
+                    Chunk::Last(next) => {
+                        (request.body, request.length) = (Cow::Owned(body), at + next);
+                        return Ok(Some(request));
+                    }
+                }
+                if body.len() > MOST_BODY {
+                    break;
+                }
+            }
+            Err((413, "the body is over 64 KiB"))
+        }
+        Framing::Length(length) if length <= MOST_BODY => {
+            let Some(body) = bytes.get(start..start + length) else { return Ok(None) };
+            (request.body, request.length) = (Cow::Borrowed(body), start + length);
+            Ok(Some(request))
+        }
+        _ => Err((413, "the body is over 64 KiB")),
+    }
+}
+
+/// The head of an answer at the start of `bytes`, once it is whole: status, length and the body's framing.
+pub fn response(bytes: &[u8]) -> Result<Option<(u16, usize, Framing)>, Bad> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut head = httparse::Response::new(&mut fields);
+    match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => {
+            Ok(Some((head.code.unwrap_or(0), length, framing(head.headers, Framing::Open)?)))
+        }
+        Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => Ok(None),
+        _ => Err((400, "the head is malformed")),
+    }
+}
+
+/// The head of our answer; `advice` is when to come back, in seconds.
+pub fn head(status: u16, kind: &str, length: usize, advice: Option<f64>, last: bool) -> String {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Bad Gateway",
+    };
+    let advice = advice.map_or(String::new(), |s| format!("Retry-After: {s:.3}\r\n"));
+    let last = if last { "Connection: close\r\n" } else { "" };
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n{advice}{last}\r\n"
+    )
+}
--- /dev/null
+++ b/crates/router/src/query.rs
@@ -0,0 +1,62 @@
+//! A client's query: its fields checked one by one before the module hears of it.
+
+use crate::http::Request;
+use serde_json::Value as Json;
+use yewpier::Micros;
+
+/// One part of a query: its shard, its share of the answer, and a rough figure for its work.
+pub type Segment = (usize, f64, Micros);
+
+/// What a query asks for, as indices and figures.
+#[derive(Debug, PartialEq)]
+pub struct Query {
+    pub grade: usize,
+    pub tenant: usize,
+    pub patience: Micros,
+    pub segments: Vec<Segment>,
+    pub text: String,
+}
+
+/// The names and the number of shards that queries are checked against.
+#[derive(Debug, Default)]
+pub struct Terms {
+    pub grades: Vec<String>,
+    pub tenants: Vec<String>,
+    pub shards: usize,
+}
+
+impl Terms {
+    pub fn query(&self, request: &Request) -> Result<Query, &'static str> {
+        let id = request.id;
+        if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err("X-Trace-Id is missing or not a plain word");
+        }
+        let known = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let grade = known(&self.grades, request.grade).ok_or("X-Qos names no known service grade")?;
+        let tenant = if self.tenants.is_empty() { Some(0) } else { known(&self.tenants, request.tenant) };
+        let tenant = tenant.ok_or("X-Customer names no known customer")?;
+        let patience: Option<u32> = request.patience.parse().ok().filter(|&ms| ms > 0);
+        let patience = patience.ok_or("X-Expires-In-Ms is missing or not a positive whole number")?;
+        let json: Json = serde_json::from_slice(&request.body).map_err(|_| "the body is not JSON")?;
+        let list = json["segments"].as_array().filter(|list| !list.is_empty());
+        let mut segments: Vec<Segment> = Vec::new();
+        for segment in list.ok_or("segments is missing or not a list of parts")? {
+            let shard = segment["segment"].as_u64().filter(|&s| s < self.shards as u64);
+            let shard = shard.ok_or("a segment's number names no known shard")? as usize;
+            if segments.iter().any(|s| s.0 == shard) {
+                return Err("a segment is named twice");
+            }
+            let boost = segment["boost"].as_f64().filter(|b| *b >= 0.0);
+            let boost = boost.ok_or("a segment's boost is missing or not a share")?;
+            let work = match &segment["work"] {
+                Json::Null => 0,
+                work => {
+                    work.as_f64().filter(|w| *w >= 0.0).ok_or("a segment's work is not a time")? as Micros
+                }
+            };
+            segments.push((shard, boost, work));
+        }
+        let text = json["text"].as_str().ok_or("text is missing or not a text")?.to_string();
+        Ok(Query { grade, tenant, patience: Micros::from(patience) * 1000, segments, text })
+    }
+}
--- /dev/null
+++ b/crates/router/src/reducer.rs
@@ -0,0 +1,270 @@
+//! The reducer: every change of state goes through `Router::step` and `Router::settle`. It is told plain
+//! values and the time, and asks for effects; it touches no socket and no clock.
+
+use crate::clients::{Client, Clients};
+use crate::config::Config;
+use crate::counters::{Counters, must};
+use crate::discovery::{self, Discovery};
+use crate::effects::{Conn, Effect, Event};
+use crate::gather::Gather;
+use crate::scatter::{Link, Scatter};
+use slab::Slab;
+use std::collections::BTreeSet;
+use yewpier::{Actions, Balance, End, Events, Micros, Node, Outcome};
+
+/// Descriptors that are not connections: standard ones, the listener, the loop's own, one just accepted.
+const OTHER_FILES: usize = 16;
+/// How long new connections keep coming after a planned end has begun, with the protocol's slack.
+const STILL_COMING: Micros = 450_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Alarm {
+    Module(u64),
+    Shot(usize, usize),
+    Peer(Conn),
+    Probe(Conn),
+    Watch,
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum Kind {
+    Client(Client),
+    Link(Link),
+    Call(discovery::Call),
+}
+
+/// The other end of a connection, and when it is to be looked at again.
+#[derive(Debug)]
+pub struct Peer {
+    pub kind: Kind,
+    alarm: Option<Micros>,
+}
+
+/// The end of a shot that the module has not heard of yet.
+type News = (usize, usize, Node, Outcome, Micros);
+
+/// All that the router holds but the module.
+pub struct Desk {
+    pub now: Micros,
+    pub effects: Vec<Effect>,
+    pub counters: Counters,
+    pub timers: BTreeSet<(Micros, Alarm)>,
+    pub peers: Slab<Peer>,
+    pub clients: Clients,
+    pub gather: Gather,
+    pub scatter: Scatter,
+    pub discovery: Discovery,
+    pub news: Vec<News>,
+    /// The module was told something and has not decided since.
+    pub unsettled: bool,
+    /// The planned end has begun; new connections no longer come.
+    pub stopping: bool,
+    pub closing: bool,
+    most_peers: usize,
+    timer: Option<Micros>,
+}
+
+pub struct Router {
+    pub balance: Balance,
+    pub desk: Desk,
+}
+
+impl Router {
+    pub fn new(config: &Config, now: Micros) -> Router {
+        let desk = Desk {
+            now,
+            effects: Vec::new(),
+            counters: Counters::default(),
+            timers: BTreeSet::new(),
+            peers: Slab::new(),
+            clients: Clients::new(config),
+            gather: Gather::default(),
+            scatter: Scatter::new(config),
+            discovery: Discovery::new(config),
+            news: Vec::new(),
+            unsettled: true,
+            stopping: false,
+            closing: false,
+            most_peers: config.sockets.saturating_sub(OTHER_FILES).max(1),
+            timer: None,
+        };
+        let mut router = Router { balance: Balance::new(config.seed, config.settings.clone()), desk };
+        router.known(&config.known);
+        router
+    }
+
+    pub fn step(&mut self, now: Micros, event: Event) {
+        self.desk.now = now;
+        match event {
+            Event::Arrived => self.desk.arrived(),
+            Event::Up(conn) => match self.desk.kind(conn) {
+                Some(Kind::Link(_)) => self.desk.link_up(conn),
+                Some(Kind::Call(_)) => self.desk.call_up(conn),
+                _ => {}
+            },
+            Event::Received(conn, bytes) => match self.desk.kind(conn) {
+                Some(Kind::Client(_)) => self.client_received(conn, bytes),
+                Some(Kind::Link(_)) => self.link_received(conn, bytes),
+                Some(Kind::Call(_)) => self.call_received(conn, bytes),
+                None => {}
+            },
+            Event::Flushed(conn) => match self.desk.kind(conn) {
+                Some(Kind::Client(_)) => self.desk.answer_flushed(conn),
+                Some(Kind::Link(_)) => self.desk.link_flushed(conn),
+                _ => {}
+            },
+            Event::Ended(conn, written) => match self.desk.kind(conn) {
+                Some(Kind::Client(_)) => self.client_ended(conn),
+                Some(Kind::Link(_)) => self.link_ended(conn, written),
+                Some(Kind::Call(_)) => self.call_ended(conn),
+                None => {}
+            },
+            Event::Alarm => self.alarms(),
+            Event::Terminate => self.desk.terminate(),
+            Event::Report => self.desk.effects.push(Effect::Report(self.desk.counters.lines())),
+        }
+    }
+
+    fn alarms(&mut self) {
+        let now = self.desk.now;
+        while let Some(&(at, alarm)) = self.desk.timers.first().filter(|t| t.0 <= now) {
+            self.desk.timers.remove(&(at, alarm));
+            match alarm {
+                Alarm::Module(token) => {
+                    self.balance.timer(now, token);
+                    self.desk.unsettled = true;
+                }
+                Alarm::Shot(part, trial) => self.desk.give_up(part, trial, Outcome::Overdue),
+                Alarm::Probe(conn) => self.probe_overdue(conn),
+                Alarm::Watch => self.desk.watch(true),
+                Alarm::Stop => self.desk.close_idle_clients(),
+                Alarm::Peer(conn) => {
+                    self.desk.peers[conn].alarm = None;
+                    match self.desk.peers[conn].kind {
+                        Kind::Client(_) => self.desk.client_alarm(conn),
+                        Kind::Link(_) => self.link_alarm(conn),
+                        Kind::Call(_) => self.call_ended(conn),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Once a turn, after all its events: tells the module what is left to tell and lets it decide.
+    pub fn settle(&mut self, now: Micros) {
+        self.desk.now = now;
+        for (part, trial, node, outcome, lag) in std::mem::take(&mut self.desk.news) {
+            self.balance.outcome(now, part, trial, node, outcome, lag, &[]);
+            self.desk.unsettled = true;
+        }
+        if std::mem::take(&mut self.desk.unsettled) {
+            self.desk.counters.turns += 1;
+            self.balance.settle(now, &mut self.desk);
+            self.desk.write_calls();
+        }
+        let desk = &mut self.desk;
+        if desk.closing && desk.clients.count == 0 {
+            desk.effects.push(Effect::Exit);
+        }
+        let next = if desk.news.is_empty() { desk.timers.first().map(|t| t.0) } else { Some(now) };
+        if std::mem::replace(&mut desk.timer, next) != next {
+            desk.effects.push(Effect::Timer(next));
+        }
+    }
+}
+
+impl Desk {
+    pub fn kind(&self, conn: Conn) -> Option<&Kind> {
+        self.peers.get(conn).map(|peer| &peer.kind)
+    }
+
+    /// Looks at a connection again at `at`, in place of the time before.
+    pub fn wake_at(&mut self, conn: Conn, at: Option<Micros>) {
+        let before = std::mem::replace(&mut self.peers[conn].alarm, at);
+        before.map(|at| self.timers.remove(&(at, Alarm::Peer(conn))));
+        at.map(|at| self.timers.insert((at, Alarm::Peer(conn))));
+    }
+
+    /// An index for a new connection, if the limit on sockets allows one; idle ones make room for it.
+    pub fn open(&mut self, kind: Kind) -> Option<Conn> {
+        if self.peers.len() >= self.most_peers && !self.turn_one_loose() {
+            return None;
+        }
+        let conn = self.peers.insert(Peer { kind, alarm: None });
+        self.counters.sockets_most = self.counters.sockets_most.max(self.peers.len() as u64);
+        Some(conn)
+    }
+
+    /// Closes the idle connection that has been so for longest: a client's, else one to a node.
+    fn turn_one_loose(&mut self) -> bool {
+        let client = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
+            Kind::Client(client) => client.idle_since().map(|at| (at, conn)),
+            _ => None,
+        });
+        let link = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
+            Kind::Link(link) => link.idle_since().map(|at| (at, conn)),
+            _ => None,
+        });
+        if let Some((_, conn)) = client.min() {
+            self.counters.clients_turned_loose += 1;
+            self.close_client(conn);
+        } else if let Some((_, conn)) = link.min() {
+            self.close_link(conn);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// Forgets a connection and has it closed.
+    pub fn close(&mut self, conn: Conn) {
+        self.wake_at(conn, None);
+        self.peers.remove(conn);
+        self.effects.push(Effect::Close(conn));
+    }
+
+    fn terminate(&mut self) {
+        if !std::mem::replace(&mut self.stopping, true) {
+            tracing::info!("told to end, {} retrievals in hand", self.gather.open);
+            self.timers.insert((self.now + STILL_COMING, Alarm::Stop));
+        }
+    }
+}
+
+impl Actions for Desk {
+    fn send(&mut self, part: usize, node: Node, allow: Micros) {
+        self.send_shot(part, node, allow);
+    }
+    fn withdraw(&mut self, part: usize, trial: usize) {
+        self.give_up(part, trial, Outcome::Withdrawn);
+    }
+    fn finish(&mut self, retrieval: usize, end: End) {
+        let ended = self.gather.retrievals.get(retrieval).is_none_or(|held| held.ended);
+        must!(self.counters, !ended, "one final answer");
+        if !ended {
+            self.answer(retrieval, end);
+        }
+    }
+    fn forget(&mut self, retrieval: usize) {
+        self.drop_retrieval(retrieval);
+    }
+    fn set_timer(&mut self, wait: Micros, token: u64) {
+        self.timers.insert((self.now + wait, Alarm::Module(token)));
+    }
+    fn probe(&mut self, node: Node) {
+        self.send_probe(node);
+    }
+    fn let_go(&mut self, node: Node) {
+        self.close_idle_links(node);
+    }
+    fn subscribe(&mut self, on: bool) {
+        self.watch(on);
+    }
+    fn reload(&mut self) {
+        self.call(false);
+    }
+    fn log(&mut self, line: &str) {
+        tracing::info!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,374 @@
+//! The loop: sockets, signals and the clock. It tells the reducer what came and carries out what it asks.
+
+use crate::config::Config;
+use crate::effects::{Conn, Effect, Event, Piece};
+use crate::http::{MOST_BODY, MOST_HEAD};
+use crate::reducer::Router;
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use rustix::io::Errno;
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use yewpier::Micros;
+
+/// As much is read ahead as a request in small chunks may take.
+const MOST_INPUT: usize = MOST_HEAD + 4 * MOST_BODY;
+/// An empty buffer above this is given back.
+const KEPT_INPUT: usize = 4096;
+/// How long to leave the listener alone when accepting fails.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Unix microseconds read once, and monotonic time since.
+struct Clock {
+    start: Micros,
+    since: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: unix.as_micros() as Micros, since: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.start + self.since.elapsed().as_micros() as Micros
+    }
+}
+
+/// A connection's bytes.
+struct Socket {
+    stream: Rc<TcpStream>,
+    token: RegistrationToken,
+    up: bool,
+    input: Vec<u8>,
+    output: VecDeque<Piece>,
+    /// How much of the first piece is written, and how much of all.
+    offset: usize,
+    written: u64,
+}
+
+/// What is to be told to the reducer after the effects in hand.
+enum After {
+    Read(Conn),
+    Flushed(Conn),
+    Ended(Conn, u64),
+}
+
+struct Server {
+    handle: LoopHandle<'static, Server>,
+    clock: Clock,
+    router: Router,
+    sockets: Vec<Option<Socket>>,
+    ready: Vec<(Conn, Readiness)>,
+    after: VecDeque<After>,
+    listener: Rc<TcpListener>,
+    listening: RegistrationToken,
+    listens: bool,
+    knocked: bool,
+    arrived: VecDeque<TcpStream>,
+    signals: Vec<Signal>,
+    timer: Option<Micros>,
+    scratch: Vec<u8>,
+    done: bool,
+}
+
+pub fn serve(config: &Config) -> Result<(), String> {
+    let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
+    let mut events: EventLoop<'static, Server> =
+        EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
+    let handle = events.handle();
+    let listen = TcpListener::bind(config.listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
+    let listener = Rc::new(listen.map_err(|e| failed(&format!("listen on {}", config.listen), &e))?);
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let listening = handle
+        .insert_source(source, |_, _, server: &mut Server| {
+            server.knocked = true;
+            Ok(PostAction::Continue)
+        })
+        .map_err(|e| failed("listener", &e))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]);
+    handle
+        .insert_source(signals.map_err(|e| failed("signals", &e))?, |event, _, server: &mut Server| {
+            server.signals.push(event.signal());
+        })
+        .map_err(|e| failed("signals", &e))?;
+    let clock = Clock::new();
+    let router = Router::new(config, clock.now());
+    tracing::info!("{} listens on {}", config.name, config.listen);
+    let mut server = Server {
+        handle,
+        clock,
+        router,
+        sockets: Vec::new(),
+        ready: Vec::new(),
+        after: VecDeque::new(),
+        listener,
+        listening,
+        listens: true,
+        knocked: false,
+        arrived: VecDeque::new(),
+        signals: Vec::new(),
+        timer: None,
+        scratch: vec![0; MOST_BODY],
+        done: false,
+    };
+    server.settle();
+    while !server.done {
+        let wait = server.wait();
+        events.dispatch(wait, &mut server).map_err(|e| failed("event loop", &e))?;
+        server.turn();
+    }
+    eprint!("{}", server.router.desk.counters.lines());
+    Ok(())
+}
+
+impl Server {
+    fn wait(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let timer = self.timer.map(|at| Duration::from_micros((at - now).max(0) as u64));
+        let pause = (!self.listens && self.arrived.is_empty()).then_some(ACCEPT_PAUSE);
+        timer.into_iter().chain(pause).min()
+    }
+
+    /// Tells the reducer all that came in, then has it decide once.
+    fn turn(&mut self) {
+        for (conn, readiness) in std::mem::take(&mut self.ready) {
+            self.socket_ready(conn, readiness);
+        }
+        if std::mem::take(&mut self.knocked) {
+            self.accept();
+        }
+        for signal in std::mem::take(&mut self.signals) {
+            self.tell(if signal == Signal::SIGUSR1 { Event::Report } else { Event::Terminate });
+        }
+        if self.timer.is_some_and(|at| at <= self.clock.now()) {
+            self.tell(Event::Alarm);
+        }
+        self.settle();
+        if !self.listens && self.arrived.is_empty() {
+            self.listens = self.handle.enable(&self.listening).is_ok();
+        }
+    }
+
+    fn settle(&mut self) {
+        self.router.settle(self.clock.now());
+        self.carry_out();
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.router.step(self.clock.now(), event);
+        self.carry_out();
+    }
+
+    fn accept(&mut self) {
+        while self.arrived.is_empty() {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    if stream.set_nonblocking(true).is_ok() {
+                        let _ = stream.set_nodelay(true);
+                        self.arrived.push_back(stream);
+                        self.tell(Event::Arrived);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    tracing::warn!("accepting failed, it is tried again in {ACCEPT_PAUSE:?}: {e}");
+                    break;
+                }
+            }
+        }
+        self.listens = self.handle.disable(&self.listening).is_err();
+    }
+
+    /// Carries out what the reducer asked, and what came of that, until nothing is left.
+    fn carry_out(&mut self) {
+        loop {
+            for effect in std::mem::take(&mut self.router.desk.effects) {
+                self.effect(effect);
+            }
+            let now = self.clock.now();
+            match self.after.pop_front() {
+                None => return,
+                Some(After::Read(conn)) => {
+                    if let Some(socket) = self.sockets.get(conn).and_then(Option::as_ref) {
+                        self.router.step(now, Event::Received(conn, &socket.input));
+                    }
+                }
+                Some(After::Flushed(conn)) => self.router.step(now, Event::Flushed(conn)),
+                Some(After::Ended(conn, written)) => self.router.step(now, Event::Ended(conn, written)),
+            }
+        }
+    }
+
+    fn effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Adopt(conn) => {
+                if let Some(stream) = self.arrived.pop_front() {
+                    self.register(conn, stream, true);
+                }
+            }
+            Effect::Connect(conn, to) => match connect(to) {
+                Ok(stream) => self.register(conn, stream, false),
+                Err(_) => self.after.push_back(After::Ended(conn, 0)),
+            },
+            Effect::Taken(conn, count) => {
+                if let Some(socket) = self.sockets.get_mut(conn).and_then(Option::as_mut) {
+                    socket.input.drain(..count);
+                    if socket.input.is_empty() && socket.input.capacity() > KEPT_INPUT {
+                        socket.input = Vec::new();
+                    }
+                }
+            }
+            Effect::Read(conn) => {
+                self.after.push_back(After::Read(conn));
+            }
+            Effect::Write(conn, pieces) => {
+                if let Some(socket) = self.sockets.get_mut(conn).and_then(Option::as_mut) {
+                    socket.output.extend(pieces.into_iter().filter(|piece| !piece.is_empty()));
+                    self.write(conn);
+                }
+            }
+            Effect::Finish(conn) => {
+                if let Some(Some(socket)) = self.sockets.get(conn) {
+                    let _ = socket.stream.shutdown(Shutdown::Write);
+                }
+            }
+            Effect::Close(conn) => {
+                self.take(conn);
+            }
+            Effect::Break(conn) => {
+                if let Some(socket) = self.take(conn) {
+                    self.after.push_back(After::Ended(conn, socket.written));
+                }
+            }
+            Effect::Timer(at) => self.timer = at,
+            Effect::Report(lines) => eprint!("{lines}"),
+            Effect::Exit => self.done = true,
+        }
+    }
+
+    fn take(&mut self, conn: Conn) -> Option<Socket> {
+        let socket = self.sockets.get_mut(conn)?.take()?;
+        self.handle.remove(socket.token);
+        Some(socket)
+    }
+
+    fn register(&mut self, conn: Conn, stream: TcpStream, up: bool) {
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = self.handle.insert_source(source, move |readiness, _, server: &mut Server| {
+            server.ready.push((conn, readiness));
+            Ok(PostAction::Continue)
+        });
+        let Ok(token) = token else {
+            return self.after.push_back(After::Ended(conn, 0));
+        };
+        if self.sockets.len() <= conn {
+            self.sockets.resize_with(conn + 1, || None);
+        }
+        let (input, output) = (Vec::new(), VecDeque::new());
+        self.sockets[conn] = Some(Socket { stream, token, up, input, output, offset: 0, written: 0 });
+    }
+
+    fn socket_ready(&mut self, conn: Conn, readiness: Readiness) {
+        let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
+        if !socket.up {
+            let failed = !matches!(socket.stream.take_error(), Ok(None));
+            if failed {
+                return self.tell(Event::Ended(conn, 0));
+            }
+            if socket.stream.peer_addr().is_err() {
+                return;
+            }
+            socket.up = true;
+            self.tell(Event::Up(conn));
+        }
+        if readiness.writable {
+            self.write(conn);
+            self.carry_out();
+        }
+        if readiness.readable {
+            self.read(conn);
+        }
+    }
+
+    /// Reads until nothing is left or the buffer is full, and tells what came.
+    fn read(&mut self, conn: Conn) {
+        loop {
+            let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
+            if socket.input.len() >= MOST_INPUT {
+                return;
+            }
+            match (&*socket.stream).read(&mut self.scratch) {
+                Ok(0) => break,
+                Ok(count) => {
+                    socket.input.extend_from_slice(&self.scratch[..count]);
+                    self.router.step(self.clock.now(), Event::Received(conn, &socket.input));
+                    self.carry_out();
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => break,
+            }
+        }
+        if let Some(Some(socket)) = self.sockets.get(conn) {
+            let written = socket.written;
+            self.tell(Event::Ended(conn, written));
+        }
+    }
+
+    /// Writes until nothing is left or the socket takes no more.
+    fn write(&mut self, conn: Conn) {
+        let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
+        if socket.output.is_empty() {
+            return;
+        }
+        while !socket.output.is_empty() {
+            let rest =
+                |(i, piece): (usize, &'_ Piece)| if i == 0 { socket.offset.min(piece.len()) } else { 0 };
+            let slices: Vec<IoSlice> = (socket.output.iter().enumerate().take(64))
+                .map(|(i, piece)| IoSlice::new(&piece[rest((i, piece))..]))
+                .collect();
+            match (&*socket.stream).write_vectored(&slices) {
+                Ok(mut count) => {
+                    socket.written += count as u64;
+                    while let Some(left) = socket.output.front().map(|piece| piece.len() - socket.offset) {
+                        if count < left {
+                            socket.offset += count;
+                            break;
+                        }
+                        count -= left;
+                        socket.offset = 0;
+                        socket.output.pop_front();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    let written = socket.written;
+                    socket.output.clear();
+                    return self.after.push_back(After::Ended(conn, written));
+                }
+            }
+        }
+        self.after.push_back(After::Flushed(conn));
+    }
+}
+
+/// Begins to connect; the socket is writable once that is done.
+fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let stream = TcpStream::from(net::socket_with(family, SocketType::STREAM, flags, None)?);
+    stream.set_nodelay(true)?;
+    match net::connect(&stream, &to) {
+        Ok(()) | Err(Errno::INPROGRESS) => Ok(stream),
+        Err(e) => Err(e.into()),
+    }
+}
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -1,13 +1,14 @@
 //! One router: its module, its ids, and the lines that its actions become.
 
+use crate::codes;
 use crate::line::Line;
-use crate::names;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use std::collections::HashMap;
 use std::io::Write;
-use yewpier::ids::Ids;
 use yewpier::{Actions, Balance, End, Events, Listing, Micros, Node, Phase};
+use yewpier_terms::ids::Ids;
+use yewpier_terms::names;
 
 /// One line of a numbered list: node, zone, cell, phase, scale and start.
 pub type Row = (String, usize, usize, Phase, f64, Micros);
@@ -110,7 +111,9 @@
 impl Instance {
     pub fn new(name: &str, line: &Line) -> Result<Self, String> {
         let seed = line.need::<i128>("nonce64")? as u64;
-        let settings = names::settings(line.text("bootInfo")?).map_err(|e| line.wrong("bootInfo", &e))?;
+        let json = serde_json::from_str(line.text("bootInfo")?).map_err(|e| e.to_string());
+        let settings =
+            json.and_then(|json| names::settings(&json)).map_err(|e| line.wrong("bootInfo", &e))?;
         Ok(Instance {
             name: name.to_string(),
             router: Balance::new(seed, settings),
@@ -148,7 +151,7 @@
             "ACCEPT" => self.accept(now, line)?,
             "VERDICT" => {
                 let (trial, lag) = (line.need("trial")?, line.micros("lagNs")?);
-                let outcome = line.code("disposition", names::outcome)?;
+                let outcome = line.code("disposition", codes::outcome)?;
                 let load = self.gauge(line)?;
                 let (op, node): (u64, &str) = (line.need("opId")?, line.text("node")?);
                 line.flag("complete")?;
@@ -170,7 +173,7 @@
             }
             "TICK_DUE" => self.router.timer(now, line.need("cookie")?),
             "STATUS_BACK" => {
-                let outcome = line.code("disposition", names::outcome)?;
+                let outcome = line.code("disposition", codes::outcome)?;
                 let (lag, load) = (line.micros("lagNs")?, self.gauge(line)?);
                 if let Some(node) = self.nodes.find(line.text("node")?) {
                     self.router.probed(now, node, outcome, lag, &load);
@@ -190,7 +193,8 @@
 
     fn gauge<'a>(&self, line: &Line<'a>) -> Result<Vec<(&'a str, f64)>, String> {
         let text = line.maybe("gauge").unwrap_or("");
-        names::load(text).ok_or_else(|| line.wrong("gauge", &format!("'{text}' is not pairs of name:number")))
+        names::load(text, ':')
+            .ok_or_else(|| line.wrong("gauge", &format!("'{text}' is not pairs of name:number")))
     }
 
     fn accept(&mut self, now: Micros, line: &Line) -> Result<(), String> {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,15 +1,16 @@
 //! Hosts many routers on the simulator's wire: batches of events on standard input, one reply each on
 //! standard output. It translates and decides nothing; the decisions are in the crate `yewpier`.
 
+mod codes;
 mod instance;
 mod line;
-mod names;
 
 use instance::{Instance, Row};
 use line::Line;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use yewpier::Listing;
+use yewpier_terms::names;
 
 #[derive(Default)]
 struct Host {
@@ -90,7 +91,7 @@
                 return Ok(false);
             }
             "ROSTER_CHANGE" => {
-                let how = line.code("how", names::listing)?;
+                let how = line.code("how", codes::listing)?;
                 line.or::<i64>("revision", 0)?;
                 let rows = match how {
                     Listing::Failed => &[],
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,7 +35,6 @@
 //! ```
 
 mod balance;
-pub mod ids;
 mod samples;
 mod settings;
 mod state;
