Tests of the reducer, codec and a start on loopback; what they found is mended

Seen in the reducer's test: turning an idle client loose inside Desk::adopt called adopt again (clients.rs, close_client) and took the same arrival twice. Those held back are now adopted once a settle. Read through and mended, each with a test where a plain value can show it: an index used again while an old end was still queued (serve.rs, Close drops what was to be told); two ends for one broken write; a full input buffer that was never read on (edge-triggered); connections to a process that the list says was started anew count as broken; a call to discovery without a socket tells the module that it failed.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -71,14 +71,14 @@
         self.clients.held_back += 1;
         self.counters.clients_arrived += 1;
         self.adopt();
+        self.counters.clients_held_back += (self.clients.held_back > 0) as u64;
     }
 
     /// Takes on those that arrived, as far as there are sockets.
-    fn adopt(&mut self) {
+    pub fn adopt(&mut self) {
         while self.clients.held_back > 0 {
             let client = Client { hand: Hand::Empty, since: self.now, last: false };
             let Some(conn) = self.open(Kind::Client(client)) else {
-                self.counters.clients_held_back += 1;
                 return;
             };
             (self.clients.held_back, self.clients.count) =
@@ -100,7 +100,6 @@
     pub fn close_client(&mut self, conn: Conn) {
         self.close(conn);
         self.clients.count -= 1;
-        self.adopt();
     }
 
     /// Closes between requests so that one which crosses the close meets no reset: its client asks again.
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::scatter::Place;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
-use yewpier::{Events, Listing, Micros};
+use yewpier::{Events, Listing, Micros, Phase};
 use yewpier_terms::ids::Ids;
 use yewpier_terms::names;
 
@@ -34,6 +34,8 @@
     nodes: Ids<String>,
     zones: Vec<String>,
     lists: u64,
+    /// Calls that failed for want of a socket, which the module has not heard of yet.
+    pub unheard: usize,
 }
 
 impl Discovery {
@@ -46,6 +48,7 @@
             nodes: Ids::default(),
             zones: numbered(&config.settings, "zone"),
             lists: 0,
+            unheard: 0,
         }
     }
 }
@@ -61,12 +64,12 @@
         }
     }
 
-    /// Asks discovery; a call that finds no socket fails as any other does, a little later.
+    /// Asks discovery; a call that finds no socket fails as any other does, with the next settle.
     pub fn call(&mut self, watch: bool) -> Option<Conn> {
         self.counters.discovery_calls += 1;
         let call = Call { watch, framing: None, body: Vec::new(), answered: false };
         let Some(conn) = self.open(Kind::Call(call)) else {
-            self.timers.insert((self.now + EMPTY_LINES, Alarm::Watch));
+            self.discovery.unheard += 1;
             return None;
         };
         self.effects.push(Effect::Connect(conn, self.discovery.at));
@@ -202,22 +205,26 @@
     }
 
     fn call_failed(&mut self, conn: Conn) {
-        let now = self.desk.now;
-        self.desk.counters.discovery_failures += 1;
         if self.desk.discovery.watch == Some(conn) {
             self.desk.discovery.watch = None;
-            if !self.desk.discovery.asked {
-                self.desk.timers.insert((now + EMPTY_LINES, Alarm::Watch));
-            }
         }
         self.desk.close(conn);
+        self.discovery_failed();
+    }
+
+    pub fn discovery_failed(&mut self) {
+        let now = self.desk.now;
+        self.desk.counters.discovery_failures += 1;
+        if !self.desk.discovery.asked && self.desk.discovery.watch.is_none() {
+            self.desk.timers.insert((now + EMPTY_LINES, Alarm::Watch));
+        }
         self.balance.list_begins(now, Listing::Failed);
         self.balance.list_ends(now, &mut self.desk);
         self.desk.unsettled = true;
     }
 
     /// Tells the module a list in discovery's form, entry by entry.
-    fn list(&mut self, list: &Json, listing: Listing) {
+    pub fn list(&mut self, list: &Json, listing: Listing) {
         let now = self.desk.now;
         let desk = &mut self.desk;
         desk.discovery.revision = list["revision"].as_u64().unwrap_or(desk.discovery.revision);
@@ -244,7 +251,7 @@
             }
             let place = &mut places[node];
             place.at = text("host_port").parse().ok();
-            (place.ready, place.list) = (phase == yewpier::Phase::Ready, number);
+            (place.ready, place.up_since, place.list) = (phase == Phase::Ready, up_since, number);
             let size = member["size"].as_f64().unwrap_or(1.0);
             self.balance.listed(now, node, zone, cell as usize, phase, size, up_since);
         }
--- a/crates/router/src/frames.rs
+++ b/crates/router/src/frames.rs
@@ -52,3 +52,29 @@
     };
     words.next().is_none().then_some((id, outcome, report, value))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_frame_is_read_once_its_last_byte_is_in() {
+        let rest = b"t.3 OK 17 inflight=7\nvalue\nwith a line";
+        let bytes: Vec<u8> = head(b'Y', rest.len()).into_iter().chain(*rest).chain([0, 0]).collect();
+        for end in 0..4 + 1 + rest.len() {
+            assert_eq!(read(&bytes[..end]), Read::More, "{end} bytes");
+        }
+        assert_eq!(read(&bytes), Read::Frame(b'Y', rest, 5 + rest.len()));
+        assert_eq!(answer(rest), Some(("t.3", Outcome::Ok, "inflight=7", "value\nwith a line")));
+    }
+
+    #[test]
+    fn what_is_no_frame_or_no_answer_is_known() {
+        assert_eq!(read(&[0, 0, 0, 0, 1]), Read::Bad);
+        assert_eq!(read(&[0x10, 0, 0, 0]), Read::Bad);
+        for rest in ["t.3 OK 17 -", "t.3 MAYBE 17 -\n", "t.3 OK 17\n", "t.3 OK 17 - more\n"] {
+            assert_eq!(answer(rest.as_bytes()), None, "{rest}");
+        }
+        assert_eq!(answer(b"t.3 OK 1 -\n\xff"), None);
+    }
+}
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -1,6 +1,9 @@
 //! The reducer: every change of state goes through `Router::step` and `Router::settle`. It is told plain
 //! values and the time, and asks for effects; it touches no socket and no clock.
 
+#[cfg(test)]
+mod tests;
+
 use crate::clients::{Client, Clients};
 use crate::config::Config;
 use crate::counters::{Counters, must};
@@ -154,6 +157,9 @@
     /// Once a turn, after all its events: tells the module what is left to tell and lets it decide.
     pub fn settle(&mut self, now: Micros) {
         self.desk.now = now;
+        for _ in 0..std::mem::take(&mut self.desk.discovery.unheard) {
+            self.discovery_failed();
+        }
         for (part, trial, node, outcome, lag) in std::mem::take(&mut self.desk.news) {
             self.balance.outcome(now, part, trial, node, outcome, lag, &[]);
             self.desk.unsettled = true;
@@ -164,10 +170,15 @@
             self.desk.write_calls();
         }
         let desk = &mut self.desk;
+        desk.adopt();
         if desk.closing && desk.clients.count == 0 {
             desk.effects.push(Effect::Exit);
         }
-        let next = if desk.news.is_empty() { desk.timers.first().map(|t| t.0) } else { Some(now) };
+        let next = if desk.news.is_empty() && desk.discovery.unheard == 0 {
+            desk.timers.first().map(|t| t.0)
+        } else {
+            Some(now)
+        };
         if std::mem::replace(&mut desk.timer, next) != next {
             desk.effects.push(Effect::Timer(next));
         }
--- /dev/null
+++ b/crates/router/src/reducer/tests.rs
@@ -0,0 +1,419 @@
+//! The reducer, told plain values.
+
+use super::*;
+use crate::effects::Piece;
+use crate::frames;
+use std::collections::BTreeMap;
+use yewpier::Listing;
+
+const START: Micros = 1_700_000_000_000_000;
+
+const CONFIG: &str = r#"{"name":"r0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"2a",
+    "limits":{"sockets":22},"new":true,
+    "known":{"revision":41,"complete":true,"members":[
+      {"id":"a","host_port":"127.0.0.1:71","locality":"z","cell":0,"phase":"ready","size":1.0,"up_since_ms":0},
+      {"id":"b","host_port":"127.0.0.1:72","locality":"z","cell":0,"phase":"ready","size":1.0,"up_since_ms":0}]},
+    "settings":{"tickNs":5000000,"registryMode":"ask","zones":["z"],"instances":1,
+      "familyInfo":{"sets":1,"shards":4,"width":1,"bundleMax":4,"floorByClass":[1,1],"needByClass":[1,1]},
+      "ceilings":{"maxAttempts":3,"maxStreams":4,"connectTimeoutNs":250000000,"idleCloseNs":3000000000,
+        "cancelling":true,"openCap":6},
+      "obligations":{"askWithinNs":10000000000},
+      "services":[
+        {"name":"look","idempotency":"read_like","targetNs":1000000000,"deadlineNs":2000000000},
+        {"name":"pay","idempotency":"non_idempotent","targetNs":1000000000,"deadlineNs":2000000000}]}}"#;
+
+/// A router and what it asked for: the far end of every connection stands still until a test moves it.
+struct Bench {
+    router: Router,
+    now: Micros,
+    /// What was written on each connection, and where each link leads.
+    written: BTreeMap<Conn, Vec<u8>>,
+    links: Vec<(Conn, u16)>,
+    adopted: Vec<Conn>,
+    closed: Vec<Conn>,
+    finished: Vec<Conn>,
+    exit: bool,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let config = Config::parse(CONFIG).expect("a configuration");
+        let mut bench = Bench {
+            router: Router::new(&config, START),
+            now: START,
+            written: BTreeMap::new(),
+            links: Vec::new(),
+            adopted: Vec::new(),
+            closed: Vec::new(),
+            finished: Vec::new(),
+            exit: false,
+        };
+        bench.settle();
+        bench
+    }
+
+    /// Has an event told and the effects done; what is written is written at once.
+    fn tell(&mut self, event: Event) {
+        self.router.step(self.now, event);
+        self.effects();
+    }
+
+    fn settle(&mut self) {
+        self.router.settle(self.now);
+        self.effects();
+    }
+
+    fn effects(&mut self) {
+        while !self.router.desk.effects.is_empty() {
+            for effect in std::mem::take(&mut self.router.desk.effects) {
+                match effect {
+                    Effect::Adopt(conn) => self.adopted.push(conn),
+                    Effect::Connect(conn, to) => self.links.push((conn, to.port())),
+                    Effect::Write(conn, pieces) => {
+                        let bytes = pieces.iter().flat_map(|piece: &Piece| piece.to_vec());
+                        self.written.entry(conn).or_default().extend(bytes);
+                        self.router.step(self.now, Event::Flushed(conn));
+                    }
+                    Effect::Close(conn) => {
+                        self.closed.push(conn);
+                        self.links.retain(|link| link.0 != conn);
+                    }
+                    Effect::Break(conn) => {
+                        let written = self.written.get(&conn).map_or(0, Vec::len) as u64;
+                        self.router.step(self.now, Event::Ended(conn, written));
+                    }
+                    Effect::Finish(conn) => self.finished.push(conn),
+                    Effect::Exit => self.exit = true,
+                    Effect::Taken(..) | Effect::Read(_) | Effect::Timer(_) | Effect::Report(_) => {}
+                }
+            }
+        }
+    }
+
+    /// Lets time pass, waking the router whenever it asked to be.
+    fn pass(&mut self, span: Micros) {
+        self.settle();
+        let end = self.now + span;
+        while let Some(at) = self.router.desk.timer.filter(|&at| at <= end) {
+            self.now = self.now.max(at);
+            self.tell(Event::Alarm);
+            self.settle();
+        }
+        self.now = end;
+    }
+
+    fn client(&mut self) -> Conn {
+        self.tell(Event::Arrived);
+        *self.adopted.last().expect("a client")
+    }
+
+    /// A client's request for two shards, decided on.
+    fn ask(&mut self, grade: &str, id: &str) -> Conn {
+        let conn = self.client();
+        let request = post(
+            grade,
+            id,
+            r#"{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"q"}"#,
+        );
+        self.tell(Event::Received(conn, request.as_bytes()));
+        self.settle();
+        conn
+    }
+
+    /// The last link to a data node, come up.
+    fn up(&mut self) -> (Conn, u16) {
+        let link = *self.links.iter().rfind(|link| link.1 != 9).expect("a link");
+        self.tell(Event::Up(link.0));
+        link
+    }
+
+    fn said(&self, conn: Conn) -> String {
+        String::from_utf8_lossy(self.written.get(&conn).map_or(&[], Vec::as_slice)).into_owned()
+    }
+
+    fn answer(&mut self, link: Conn, line: &str, value: &str) {
+        let rest = format!("{line}\n{value}");
+        let frame = [&frames::head(b'Y', rest.len())[..], rest.as_bytes()].concat();
+        self.tell(Event::Received(link, &frame));
+    }
+}
+
+fn post(grade: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /api HTTP/1.1\r\nX-Qos: {grade}\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 1500\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+#[test]
+fn the_parts_of_one_settle_share_a_call_and_make_one_whole_answer() {
+    let mut bench = Bench::new();
+    let client = bench.ask("look", "t1");
+    let (link, _) = bench.up();
+    let rest = "t1.0 0 d=1500 1\nqt1.1 1 d=1500 1\nq";
+    assert_eq!(bench.said(link).as_bytes(), [&frames::head(b'R', rest.len())[..], rest.as_bytes()].concat());
+    bench.answer(link, "t1.1 OK 5 -", "beta\"");
+    bench.settle();
+    assert_eq!(bench.said(client), "");
+    bench.answer(link, "t1.0 OK 5 inflight=1", "alpha");
+    bench.settle();
+    let body =
+        r#"{"all_in":true,"matches":[{"payload":"alpha","segment":0},{"payload":"beta\"","segment":1}]}"#;
+    assert!(bench.said(client).starts_with("HTTP/1.1 200 OK") && bench.said(client).ends_with(body));
+    assert_eq!((bench.router.desk.gather.open, bench.router.desk.gather.parts.len()), (0, 0));
+}
+
+#[test]
+fn what_was_not_written_whole_never_ran_and_the_rest_may_have() {
+    // An effectful part goes out again only on proof that it never ran.
+    for (grade, unwritten, status) in [("pay", 1, None), ("pay", 0, Some("502")), ("look", 0, Some("503"))] {
+        let mut bench = Bench::new();
+        let client = bench.ask(grade, "t1");
+        let (link, port) = bench.up();
+        let written = bench.said(link).len() as u64;
+        bench.tell(Event::Ended(link, written - unwritten));
+        bench.settle();
+        let (_, other) = *bench.links.last().expect("a link");
+        assert_eq!(other != port && other != 9, grade == "look" || unwritten > 0, "{grade} {unwritten}");
+        bench.pass(2_000_000);
+        assert!(status.is_none_or(|status| bench.said(client).contains(status)), "{}", bench.said(client));
+    }
+}
+
+#[test]
+fn nothing_is_sent_once_a_retrieval_has_ended() {
+    let mut bench = Bench::new();
+    let client = bench.ask("pay", "t1");
+    bench.pass(1_600_000);
+    assert!(bench.said(client).starts_with("HTTP/1.1 503"), "{}", bench.said(client));
+    for (link, _) in bench.links.clone().into_iter().filter(|link| link.1 != 9) {
+        bench.tell(Event::Up(link));
+        bench.settle();
+        assert_eq!(bench.said(link), "");
+    }
+    assert_eq!(bench.router.desk.counters.shots_sent, 0);
+}
+
+#[test]
+fn a_client_that_left_gets_nothing_and_answers_for_it_are_passed_over() {
+    let mut bench = Bench::new();
+    let client = bench.ask("look", "t1");
+    let (link, _) = bench.up();
+    bench.tell(Event::Ended(client, 0));
+    bench.settle();
+    assert_eq!(bench.closed, [client]);
+    bench.answer(link, "t1.0 OK 5 -", "alpha");
+    bench.answer(link, "t9.0 OK 5 -", "of no one");
+    bench.pass(2_000_000);
+    assert_eq!((bench.said(client), bench.router.desk.counters.answers_late), (String::new(), 1));
+    assert_eq!((bench.router.desk.counters.shots_overdue, bench.router.desk.gather.parts.len()), (1, 0));
+}
+
+#[test]
+fn a_part_that_is_out_twice_on_a_node_goes_on_two_connections() {
+    let mut bench = Bench::new();
+    bench.ask("look", "t1");
+    let (first, port) = bench.up();
+    let node = if port == 71 { 0 } else { 1 };
+    bench.router.desk.send_shot(0, node, 0);
+    bench.router.desk.write_calls();
+    bench.effects();
+    let (second, _) = bench.up();
+    assert!(second != first && bench.said(second).contains("t1.0"));
+    assert_eq!(bench.router.desk.gather.parts[0].shots[1].link, Some(second));
+}
+
+#[test]
+fn a_frame_that_cannot_be_used_ends_its_connection() {
+    for bytes in [&[0, 0, 0, 0][..], &[0, 0, 0, 2, b'Q', b'x'], &[0, 0, 0, 4, b'Y', b't', b'.', b'1']] {
+        let mut bench = Bench::new();
+        bench.ask("pay", "t1");
+        let (link, _) = bench.up();
+        bench.tell(Event::Received(link, bytes));
+        assert_eq!((&bench.closed[..], bench.router.desk.counters.shots_broken), (&[link][..], 2));
+    }
+}
+
+#[test]
+fn bad_requests_are_told_off_and_the_module_is_not_troubled() {
+    let mut bench = Bench::new();
+    let turns = bench.router.desk.counters.turns;
+    for (request, status) in [
+        ("GET /api HTTP/1.1\r\n\r\n".to_string(), "405"),
+        ("GET /else HTTP/1.1\r\n\r\n".to_string(), "404"),
+        ("NONSENSE\r\n\r\n".to_string(), "400"),
+        (post("unheard-of", "t1", "{}"), "400"),
+        (post("look", "t1", "{"), "400"),
+        ("GET /-/ready HTTP/1.1\r\n\r\n".to_string(), "200"),
+        ("GET /-/counters?all HTTP/1.1\r\n\r\n".to_string(), "200"),
+    ] {
+        let client = bench.client();
+        bench.tell(Event::Received(client, request.as_bytes()));
+        bench.settle();
+        assert!(bench.said(client).starts_with(&format!("HTTP/1.1 {status}")), "{request}");
+        bench.tell(Event::Ended(client, 0));
+        bench.written.clear();
+    }
+    assert_eq!(bench.router.desk.counters.turns, turns);
+}
+
+#[test]
+fn a_request_that_never_ends_and_an_answer_never_read_do_not_last() {
+    let mut bench = Bench::new();
+    let client = bench.client();
+    bench.tell(Event::Received(client, b"POST /api HT"));
+    bench.pass(4_000_000);
+    assert!(bench.said(client).starts_with("HTTP/1.1 408") && bench.closed.contains(&client));
+}
+
+#[test]
+fn more_than_the_limit_is_deferred_before_the_module_hears_of_it() {
+    let mut bench = Bench::new();
+    let clients: Vec<Conn> = (0..3).map(|i| bench.ask("look", &format!("t{i}"))).collect();
+    assert!(bench.said(clients[2]).starts_with("HTTP/1.1 503"));
+    assert_eq!(
+        (bench.said(clients[1]), bench.router.desk.counters.retrievals_over_limit),
+        (String::new(), 1)
+    );
+}
+
+#[test]
+fn an_id_in_hand_is_not_taken_again() {
+    let mut bench = Bench::new();
+    bench.ask("look", "t1");
+    let client = bench.ask("look", "t1");
+    assert!(bench.said(client).starts_with("HTTP/1.1 400"));
+}
+
+#[test]
+fn idle_connections_make_room_before_a_client_waits() {
+    let mut bench = Bench::new();
+    // Six connections are allowed; one is discovery's.
+    let clients: Vec<Conn> = (0..6).map(|_| bench.client()).collect();
+    assert_eq!((&bench.closed[..], clients[5]), (&[clients[0]][..], clients[0]));
+    for &client in &clients[1..] {
+        bench.tell(Event::Received(client, b"POST /api HT"));
+    }
+    let before = bench.adopted.len();
+    bench.tell(Event::Arrived);
+    assert_eq!((bench.adopted.len(), bench.router.desk.counters.clients_held_back), (before, 1));
+    bench.tell(Event::Ended(clients[3], 0));
+    bench.settle();
+    assert_eq!(bench.adopted[before..], [clients[3]]);
+}
+
+#[test]
+fn a_planned_end_answers_what_came_and_closes_between_requests() {
+    let mut bench = Bench::new();
+    let idle = bench.client();
+    let busy = bench.ask("look", "t1");
+    bench.tell(Event::Terminate);
+    let late = bench.client();
+    bench.tell(Event::Received(late, b"GET /-/ready HTTP/1.1\r\n\r\n"));
+    assert!(bench.said(late).starts_with("HTTP/1.1 503") && bench.said(late).contains("Connection: close"));
+    assert_eq!(bench.finished, [late]);
+    bench.pass(STILL_COMING);
+    assert_eq!((&bench.finished[..], bench.exit), (&[late, idle][..], false));
+    bench.tell(Event::Ended(late, 0));
+    bench.tell(Event::Ended(idle, 0));
+    bench.pass(1_200_000);
+    assert!(bench.said(busy).contains("Connection: close") && !bench.exit);
+    bench.tell(Event::Ended(busy, 0));
+    bench.settle();
+    assert!(bench.exit);
+}
+
+#[test]
+fn a_watch_is_read_however_its_bytes_are_split_and_a_silent_one_is_asked_anew() {
+    let line = r#"{"revision":43,"complete":false,"members":[{"id":"b","host_port":"127.0.0.1:72",
+        "locality":"z","cell":0,"phase":"draining","size":1.0,"up_since_ms":0}]}"#;
+    let line = line.replace('\n', "") + "\n\n";
+    let (begin, end) = line.split_at(30);
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{begin}\r\n{:x}\r\n{end}\r\n",
+        begin.len(),
+        end.len()
+    );
+    for at in 0..text.len() {
+        let mut bench = Bench::new();
+        let watch = bench.links[0].0;
+        bench.tell(Event::Up(watch));
+        assert!(bench.said(watch).starts_with("GET /api/targets?watch=1&after=41 HTTP/1.1\r\n"));
+        // Bytes that were not taken are told again.
+        let mut left = Vec::new();
+        for piece in [&text.as_bytes()[..at], &text.as_bytes()[at..]] {
+            left.extend_from_slice(piece);
+            bench.router.step(START, Event::Received(watch, &left));
+            for effect in std::mem::take(&mut bench.router.desk.effects) {
+                if let Effect::Taken(_, count) = effect {
+                    left.drain(..count);
+                }
+            }
+        }
+        let ready: Vec<bool> = bench.router.desk.scatter.nodes.iter().map(|place| place.ready).collect();
+        assert_eq!((ready, left.len()), (vec![true, false], 0), "split at {at}");
+        bench.pass(20_000_000);
+        assert!(bench.router.desk.counters.discovery_failures > 1);
+        assert_eq!(bench.links.len(), 1, "one watch at a time");
+    }
+}
+
+#[test]
+fn a_drained_node_and_a_new_process_take_back_what_was_meant_for_the_old() {
+    let mut bench = Bench::new();
+    bench.ask("pay", "t1");
+    let (link, port) = *bench.links.last().expect("a link");
+    let list = |phase: &str, up: i64| {
+        let id = if port == 71 { "a" } else { "b" };
+        serde_json::json!({"revision": 50, "members": [{"id": id, "host_port": format!("127.0.0.1:{port}"),
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": up}]})
+    };
+    // Not up yet: taken back unsent and sent elsewhere.
+    bench.router.list(&list("draining", 0), Listing::Changes);
+    bench.settle();
+    bench.settle();
+    assert_eq!(bench.router.desk.counters.shots_unsent, 2);
+    bench.tell(Event::Up(link));
+    let (other, other_port) = bench.up();
+    assert!(other_port != port && bench.said(link).is_empty() && bench.said(other).contains("t1.0"));
+    // Up before the process started: it is gone, and what was out on it may have run.
+    bench.router.list(&list("ready", 0), Listing::Changes);
+    bench.now += 100_000;
+    let up = (bench.now - 50_000) / 1000;
+    let id = if other_port == 71 { "a" } else { "b" };
+    let fresh = serde_json::json!({"revision": 51, "members": [{"id": id, "cell": 0, "phase": "ready",
+        "host_port": format!("127.0.0.1:{other_port}"), "size": 1.0, "up_since_ms": up}]});
+    bench.router.list(&fresh, Listing::Changes);
+    bench.effects();
+    assert_eq!((bench.router.desk.counters.shots_broken, bench.closed.contains(&other)), (2, true));
+}
+
+#[test]
+fn idle_links_are_closed_before_the_node_does_it() {
+    let mut bench = Bench::new();
+    let client = bench.ask("look", "t1");
+    let (link, _) = bench.up();
+    bench.answer(link, "t1.0 OK 5 -", "alpha");
+    bench.answer(link, "t1.1 OK 5 -", "beta");
+    bench.settle();
+    bench.tell(Event::Ended(client, 0));
+    bench.pass(2_700_000);
+    assert!(!bench.closed.contains(&link));
+    bench.pass(100_000);
+    assert!(bench.closed.contains(&link));
+}
+
+#[test]
+fn probes_are_told_back_with_their_load_and_time_out() {
+    let mut bench = Bench::new();
+    bench.router.desk.send_probe(0);
+    bench.effects();
+    let (link, _) = bench.up();
+    assert_eq!(bench.written[&link], frames::head(b'G', 0));
+    bench.tell(Event::Received(link, &[0, 0, 0, 3, b'G', b'O', b'K']));
+    bench.router.desk.send_probe(0);
+    bench.effects();
+    assert!(bench.router.desk.counters.probes_sent == 2 && !bench.closed.contains(&link));
+    bench.pass(300_000);
+    assert!(bench.closed.contains(&link));
+}
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -34,6 +34,7 @@
     node: Node,
     to: SocketAddr,
     up: bool,
+    opened: Micros,
     since: Micros,
     /// What has not begun to be written and can be taken back.
     queue: VecDeque<Item>,
@@ -71,6 +72,8 @@
 pub struct Place {
     pub at: Option<SocketAddr>,
     pub ready: bool,
+    /// When its process started, as far as the list says.
+    pub up_since: Micros,
     /// The number of the last list that named it.
     pub list: u64,
     links: Vec<Conn>,
@@ -136,6 +139,7 @@
 
     /// Puts the calls of this settle on connections.
     pub fn write_calls(&mut self) {
+        let mut touched: Vec<Conn> = Vec::new();
         for (node, mut shots) in std::mem::take(&mut self.scatter.calls) {
             shots.retain(|&(part, trial)| !self.gather.parts[part].shots[trial].over);
             if shots.is_empty() {
@@ -148,7 +152,7 @@
                         self.gather.parts[part].shots[trial].link = Some(conn);
                     }
                     self.link(conn).queue.push_back(Item::Call(shots));
-                    self.write_link(conn);
+                    touched.push(conn);
                 }
                 None => {
                     for (part, trial) in shots {
@@ -157,6 +161,7 @@
                 }
             }
         }
+        touched.into_iter().for_each(|conn| self.write_link(conn));
     }
 
     /// A connection with room for parts of these ids: one that is up before one that is not yet. Answers
@@ -172,7 +177,8 @@
                     || link.out.iter().any(|out| out.id == *id)
                     || link.queued().any(|(part, _)| self.gather.parts[part].id == *id)
             };
-            place.at == Some(link.to) && fresh && link.load() + ids.len() <= most && !ids.iter().any(known)
+            let same = place.at == Some(link.to) && (!link.up || link.opened >= place.up_since);
+            same && fresh && link.load() + ids.len() <= most && !ids.iter().any(known)
         };
         let up = |conn: &&Conn| matches!(&self.peers[**conn].kind, Kind::Link(link) if link.up);
         let links = || place.links.iter().filter(fits);
@@ -185,6 +191,7 @@
             node,
             to,
             up: false,
+            opened: self.now,
             since: self.now,
             queue: VecDeque::new(),
             handed: 0,
@@ -291,12 +298,17 @@
         }
     }
 
-    /// A node that takes nothing new, or not at this address any more: what has not begun to be written is
-    /// taken back, and idle connections are closed.
+    /// What a list says of a node's connections. Guards against connections to a process that is no more: a
+    /// machine that vanished leaves them silent, and what is sent on one is lost. At a node that takes nothing
+    /// new, or not at this address any more, what has not begun to be written is taken back.
     pub fn turn_from(&mut self, node: Node) {
         let place = self.scatter.nodes[node].clone();
         for conn in place.links {
             let link = self.link(conn);
+            if link.up && link.opened < place.up_since {
+                self.effects.push(Effect::Break(conn));
+                continue;
+            }
             if place.ready && place.at == Some(link.to) {
                 continue;
             }
@@ -380,6 +392,8 @@
         let Some(conn) = self.room_for(node, &[]).or_else(|| self.open_link(node)) else { return };
         let at = self.now + self.scatter.connect;
         let link = self.link(conn);
+        // No two are due at one time: an alarm stands for one probe.
+        let at = link.probes.back().map_or(at, |last| at.max(last + 1));
         link.queue.push_back(Item::Probe);
         link.probes.push_back(at);
         self.timers.insert((at, Alarm::Probe(conn)));
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::effects::{Conn, Effect, Event, Piece};
-use crate::http::{MOST_BODY, MOST_HEAD};
+use crate::http::{MOST_BODY, MOST_REQUEST};
 use crate::reducer::Router;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -16,10 +16,10 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yewpier::Micros;
 
-/// As much is read ahead as a request in small chunks may take.
-const MOST_INPUT: usize = MOST_HEAD + 4 * MOST_BODY;
 /// An empty buffer above this is given back.
 const KEPT_INPUT: usize = 4096;
+/// How many pieces go out with one gathered write.
+const MOST_PIECES: usize = 64;
 /// How long to leave the listener alone when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,6 +45,8 @@
     stream: Rc<TcpStream>,
     token: RegistrationToken,
     up: bool,
+    /// Reading stopped because the buffer was full.
+    full: bool,
     input: Vec<u8>,
     output: VecDeque<Piece>,
     /// How much of the first piece is written, and how much of all.
@@ -59,6 +61,13 @@
     Ended(Conn, u64),
 }
 
+impl After {
+    fn conn(&self) -> Conn {
+        let (After::Read(conn) | After::Flushed(conn) | After::Ended(conn, _)) = self;
+        *conn
+    }
+}
+
 struct Server {
     handle: LoopHandle<'static, Server>,
     clock: Clock,
@@ -99,7 +108,8 @@
         .map_err(|e| failed("signals", &e))?;
     let clock = Clock::new();
     let router = Router::new(config, clock.now());
-    tracing::info!("{} listens on {}", config.name, config.listen);
+    let at = listener.local_addr().map_err(|e| failed("listener", &e))?;
+    tracing::info!("{} listens on {at}", config.name);
     let mut server = Server {
         handle,
         clock,
@@ -130,6 +140,9 @@
 impl Server {
     fn wait(&self) -> Option<Duration> {
         let now = self.clock.now();
+        if !self.ready.is_empty() {
+            return Some(Duration::ZERO);
+        }
         let timer = self.timer.map(|at| Duration::from_micros((at - now).max(0) as u64));
         let pause = (!self.listens && self.arrived.is_empty()).then_some(ACCEPT_PAUSE);
         timer.into_iter().chain(pause).min()
@@ -196,7 +209,11 @@
             match self.after.pop_front() {
                 None => return,
                 Some(After::Read(conn)) => {
-                    if let Some(socket) = self.sockets.get(conn).and_then(Option::as_ref) {
+                    if let Some(Some(socket)) = self.sockets.get(conn) {
+                        if socket.full {
+                            self.ready
+                                .push((conn, Readiness { readable: true, writable: false, error: false }));
+                        }
                         self.router.step(now, Event::Received(conn, &socket.input));
                     }
                 }
@@ -241,18 +258,23 @@
             }
             Effect::Close(conn) => {
                 self.take(conn);
+                // The index may be used again: what was to be told of this connection is void.
+                self.after.retain(|after| after.conn() != conn);
             }
-            Effect::Break(conn) => {
-                if let Some(socket) = self.take(conn) {
-                    self.after.push_back(After::Ended(conn, socket.written));
-                }
-            }
+            Effect::Break(conn) => self.fail(conn),
             Effect::Timer(at) => self.timer = at,
             Effect::Report(lines) => eprint!("{lines}"),
             Effect::Exit => self.done = true,
         }
     }
 
+    /// Closes a socket and has the reducer told, once.
+    fn fail(&mut self, conn: Conn) {
+        if let Some(socket) = self.take(conn) {
+            self.after.push_back(After::Ended(conn, socket.written));
+        }
+    }
+
     fn take(&mut self, conn: Conn) -> Option<Socket> {
         let socket = self.sockets.get_mut(conn)?.take()?;
         self.handle.remove(socket.token);
@@ -273,7 +295,8 @@
             self.sockets.resize_with(conn + 1, || None);
         }
         let (input, output) = (Vec::new(), VecDeque::new());
-        self.sockets[conn] = Some(Socket { stream, token, up, input, output, offset: 0, written: 0 });
+        self.sockets[conn] =
+            Some(Socket { stream, token, up, full: false, input, output, offset: 0, written: 0 });
     }
 
     fn socket_ready(&mut self, conn: Conn, readiness: Readiness) {
@@ -281,7 +304,8 @@
         if !socket.up {
             let failed = !matches!(socket.stream.take_error(), Ok(None));
             if failed {
-                return self.tell(Event::Ended(conn, 0));
+                self.fail(conn);
+                return self.carry_out();
             }
             if socket.stream.peer_addr().is_err() {
                 return;
@@ -302,7 +326,8 @@
     fn read(&mut self, conn: Conn) {
         loop {
             let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
-            if socket.input.len() >= MOST_INPUT {
+            socket.full = socket.input.len() >= MOST_REQUEST;
+            if socket.full {
                 return;
             }
             match (&*socket.stream).read(&mut self.scratch) {
@@ -317,10 +342,8 @@
                 Err(_) => break,
             }
         }
-        if let Some(Some(socket)) = self.sockets.get(conn) {
-            let written = socket.written;
-            self.tell(Event::Ended(conn, written));
-        }
+        self.fail(conn);
+        self.carry_out();
     }
 
     /// Writes until nothing is left or the socket takes no more.
@@ -330,11 +353,9 @@
             return;
         }
         while !socket.output.is_empty() {
-            let rest =
-                |(i, piece): (usize, &'_ Piece)| if i == 0 { socket.offset.min(piece.len()) } else { 0 };
-            let slices: Vec<IoSlice> = (socket.output.iter().enumerate().take(64))
-                .map(|(i, piece)| IoSlice::new(&piece[rest((i, piece))..]))
-                .collect();
+            let begin = |at: usize| if at == 0 { socket.offset } else { 0 };
+            let pieces = socket.output.iter().take(MOST_PIECES).enumerate();
+            let slices: Vec<IoSlice> = pieces.map(|(at, piece)| IoSlice::new(&piece[begin(at)..])).collect();
             match (&*socket.stream).write_vectored(&slices) {
                 Ok(mut count) => {
                     socket.written += count as u64;
@@ -350,10 +371,11 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // What came before the break is still to be read; the end is met there.
                 Err(_) => {
-                    let written = socket.written;
                     socket.output.clear();
-                    return self.after.push_back(After::Ended(conn, written));
+                    self.ready.push((conn, Readiness { readable: true, writable: false, error: true }));
+                    return;
                 }
             }
         }
--- /dev/null
+++ b/crates/router/tests/loopback.rs
@@ -0,0 +1,140 @@
+//! The router as it is started, between a client, a data node and a discovery of our own on loopback.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+/// Serves each connection to a listener of its own port on a thread.
+fn stand_in(serve: fn(TcpStream, SocketAddr), about: Option<SocketAddr>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream, about.unwrap_or(at)));
+        }
+    });
+    at
+}
+
+/// A data node: answers each part of a call, the last one first, byte by byte.
+fn data_node(mut stream: TcpStream, _at: SocketAddr) {
+    let mut head = [0; 5];
+    while stream.read_exact(&mut head).is_ok() {
+        let mut rest = vec![0; u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize - 1];
+        stream.read_exact(&mut rest).expect("a whole frame");
+        assert_eq!(head[4], b'R');
+        let mut text = std::str::from_utf8(&rest).expect("text");
+        let mut answers = Vec::new();
+        while let Some((line, more)) = text.split_once('\n') {
+            let words: Vec<&str> = line.split(' ').collect();
+            let (query, after) = more.split_at(words[3].parse().expect("a length"));
+            answers.push(format!("Y{} OK 1 inflight=1\n{query}/{}", words[0], words[1]));
+            text = after;
+        }
+        for answer in answers.iter().rev() {
+            let frame = [&(answer.len() as u32).to_be_bytes()[..], answer.as_bytes()].concat();
+            frame.iter().for_each(|byte| stream.write_all(&[*byte]).expect("the router reads"));
+        }
+    }
+}
+
+/// Discovery: tells of one data node to a watch and then holds it open.
+fn discovery(mut stream: TcpStream, node: SocketAddr) {
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line).expect("a request");
+    assert!(line.starts_with("GET /api/targets?watch=1&after=7 "), "{line}");
+    let list = format!(
+        "{{\"revision\":8,\"complete\":true,\"members\":[{{\"id\":\"a\",\"host_port\":\"{node}\",\"locality\":\"z\",\
+         \"cell\":0,\"phase\":\"ready\",\"size\":1.0,\"up_since_ms\":0}}]}}\n"
+    );
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    write!(stream, "{head}{:x}\r\n{list}\r\n", list.len()).expect("the router reads");
+    while write!(stream, "1\r\n\n\r\n").is_ok() {
+        std::thread::sleep(Duration::from_secs(2));
+    }
+}
+
+/// The body of the next answer on a connection that is kept.
+fn answer(stream: &mut BufReader<TcpStream>) -> (String, String) {
+    let (mut status, mut length) = (String::new(), 0);
+    stream.read_line(&mut status).expect("an answer");
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).expect("a head");
+        if let Some(value) = line.strip_prefix("Content-Length: ") {
+            length = value.trim().parse().expect("a length");
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).expect("a body");
+    (status, String::from_utf8(body).expect("text"))
+}
+
+#[test]
+fn a_router_serves_until_it_is_told_to_end() {
+    let discovery = stand_in(discovery, Some(stand_in(data_node, None)));
+    let config = serde_json::json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "2a",
+        "limits": {"sockets": 64}, "known": {"revision": 7, "complete": true, "members": []},
+        "settings": {"tickNs": 5_000_000, "registryMode": "ask", "zones": ["z"],
+            "familyInfo": {"sets": 1, "shards": 8, "width": 1, "bundleMax": 4},
+            "ceilings": {"maxAttempts": 1, "maxStreams": 8, "connectTimeoutNs": 250_000_000u64,
+                "idleCloseNs": 30_000_000_000u64},
+            "obligations": {"askWithinNs": 10_000_000_000u64},
+            "services": [{"name": "look", "idempotency": "read_like", "deadlineNs": 20_000_000_000u64}]}});
+    let path = std::env::temp_dir().join(format!("yewpier-{}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).expect("a file");
+    let mut router = Command::new(env!("CARGO_BIN_EXE_yewpier"))
+        .args(["serve", "--config", path.to_str().expect("a path")])
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the router starts");
+    let mut log = BufReader::new(router.stderr.take().expect("a log"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    std::fs::remove_file(&path).expect("the file is read by now");
+    let at = line.trim().rsplit(' ').next().expect("an address");
+
+    let mut client = BufReader::new(TcpStream::connect(at).expect("a connection"));
+    let send = |client: &mut BufReader<TcpStream>, bytes: &str| {
+        client.get_mut().write_all(bytes.as_bytes()).expect("the router reads");
+    };
+    send(&mut client, "GET /-/ready HTTP/1.1\r\n\r\n");
+    assert_eq!(answer(&mut client), ("HTTP/1.1 200 OK\r\n".into(), "OK\n".into()));
+
+    // Eight parts make two calls or more; the head comes in pieces, the next request right behind the body.
+    let segments: Vec<String> = (0..8).map(|i| format!("{{\"segment\":{i},\"boost\":0.125}}")).collect();
+    let body = format!("{{\"segments\":[{}],\"text\":\"q\"}}", segments.join(","));
+    let fields = |id| format!("X-Qos: look\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 20000\r\n");
+    send(&mut client, "POST /api HT");
+    send(&mut client, &format!("TP/1.1\r\n{}Content-Length: {}\r\n\r\n{body}", fields("t1"), body.len()));
+    let (begin, end) = body.split_at(9);
+    let head = format!("POST /api HTTP/1.1\r\n{}Transfer-Encoding: chunked\r\n\r\n", fields("t2"));
+    send(&mut client, &format!("{head}9\r\n{begin}\r\n{:x}\r\n{end}\r\n0\r\n\r\n", end.len()));
+    for _ in 0..2 {
+        let (status, body) = answer(&mut client);
+        let json: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+        let values = json["matches"].as_array().expect("a list").iter().map(|m| m["payload"].to_string());
+        let due = (0..8).map(|i| format!("\"q/{i}\""));
+        assert_eq!((status.as_str(), &json["all_in"]), ("HTTP/1.1 200 OK\r\n", &true.into()));
+        assert!(values.eq(due), "{body}");
+    }
+
+    let pid = Pid::from_raw(router.id() as i32).expect("a process");
+    kill_process(pid, Signal::TERM).expect("it runs");
+    // The idle connection ends between requests, then the process.
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).expect("a gentle end");
+    drop(client);
+    assert!(rest.is_empty() && router.wait().expect("it ends").success());
+    let mut counters = String::new();
+    log.read_to_string(&mut counters).expect("counters");
+    assert!(
+        counters.contains("finished_whole 2\n") && counters.contains("broken_invariants 0\n"),
+        "{counters}"
+    );
+}
