Short of sockets: clients about to ask stay, unread requests are read, calls wait for a socket

Faulty: Desk::turn_one_loose took a client that had just been adopted and whose first request was still unread for idle, and write_calls told the module that a node was unreachable where only a socket was missing, so that sound nodes counted as cold.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Hand {
     Empty,
+    /// To be closed for want of sockets, unless a request has come in unread.
+    Parting,
     /// A request has begun to come in.
     Begun,
     Retrieval(usize),
@@ -26,13 +28,15 @@
 pub struct Client {
     pub hand: Hand,
     since: Micros,
+    /// It has had an answer. One that has not was opened for a request, which is about to come.
+    served: bool,
     /// It is closed after the answer in hand.
     last: bool,
 }
 
 impl Client {
     pub fn idle_since(&self) -> Option<Micros> {
-        (self.hand == Hand::Empty).then_some(self.since)
+        (self.hand == Hand::Empty && self.served).then_some(self.since)
     }
 }
 
@@ -77,7 +81,7 @@
     /// Takes on those that arrived, as far as there are sockets.
     pub fn adopt(&mut self) {
         while self.clients.held_back > 0 {
-            let client = Client { hand: Hand::Empty, since: self.now, last: false };
+            let client = Client { hand: Hand::Empty, since: self.now, served: false, last: false };
             let Some(conn) = self.open(Kind::Client(client)) else {
                 return;
             };
@@ -97,6 +101,13 @@
         }
     }
 
+    /// Turns an idle client loose. Guards against a request that has come in and was not read yet.
+    pub fn part_with(&mut self, conn: Conn) {
+        self.counters.clients_turned_loose += 1;
+        self.client(conn).hand = Hand::Parting;
+        self.effects.push(Effect::Part(conn));
+    }
+
     pub fn close_client(&mut self, conn: Conn) {
         self.close(conn);
         self.clients.count -= 1;
@@ -125,7 +136,7 @@
                 self.client(conn).last = true;
                 self.say(conn, 408, "the request took too long to come");
             }
-            Hand::Empty => self.leave(conn),
+            Hand::Empty | Hand::Parting => self.leave(conn),
             Hand::Retrieval(_) => {}
             Hand::Answer | Hand::Leaving => self.close_client(conn),
         }
@@ -140,7 +151,7 @@
         if client.last || stopping {
             return self.leave(conn);
         }
-        (client.hand, client.since) = (Hand::Empty, now);
+        (client.hand, client.since, client.served) = (Hand::Empty, now, true);
         self.wake_at(conn, None);
         self.effects.push(Effect::Read(conn));
     }
@@ -166,6 +177,7 @@
         let (now, longest) = (self.desk.now, self.desk.clients.longest);
         let client = self.desk.client(conn);
         match client.hand {
+            Hand::Parting => client.hand = Hand::Empty,
             Hand::Retrieval(_) | Hand::Answer => return,
             Hand::Leaving => return self.desk.effects.push(Effect::Taken(conn, bytes.len())),
             Hand::Empty | Hand::Begun => {}
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -4,7 +4,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::clients::{Client, Clients};
+use crate::clients::{Client, Clients, Hand};
 use crate::config::Config;
 use crate::counters::{Counters, must};
 use crate::discovery::{self, Discovery};
@@ -17,6 +17,8 @@
 
 /// Descriptors that are not connections: standard ones, the listener, the loop's own, one just accepted.
 const OTHER_FILES: usize = 16;
+/// How many connections may be on their way out, so that new ones in their place stay within the limit.
+const MOST_PARTING: usize = OTHER_FILES / 2;
 /// How long new connections keep coming after a planned end has begun, with the protocol's slack.
 const STILL_COMING: Micros = 450_000;
 
@@ -167,9 +169,9 @@
         if std::mem::take(&mut self.desk.unsettled) {
             self.desk.counters.turns += 1;
             self.balance.settle(now, &mut self.desk);
-            self.desk.write_calls();
         }
         let desk = &mut self.desk;
+        desk.write_calls();
         desk.adopt();
         if desk.closing && desk.clients.count == 0 {
             desk.effects.push(Effect::Exit);
@@ -199,31 +201,33 @@
 
     /// An index for a new connection, if the limit on sockets allows one; idle ones make room for it.
     pub fn open(&mut self, kind: Kind) -> Option<Conn> {
-        if self.peers.len() >= self.most_peers && !self.turn_one_loose() {
-            return None;
+        if self.peers.len() >= self.most_peers {
+            let parting = |peer: &Peer| matches!(&peer.kind, Kind::Client(c) if c.hand == Hand::Parting);
+            let parting = self.peers.iter().filter(|(_, peer)| parting(peer)).count();
+            let full = self.peers.len() - parting >= self.most_peers;
+            if full && (parting >= MOST_PARTING || !self.turn_one_loose()) {
+                return None;
+            }
         }
         let conn = self.peers.insert(Peer { kind, alarm: None });
         self.counters.sockets_most = self.counters.sockets_most.max(self.peers.len() as u64);
         Some(conn)
     }
 
-    /// Closes the idle connection that has been so for longest: a client's, else one to a node.
+    /// Closes the connection that has been idle for longest, a client's or one to a node.
     fn turn_one_loose(&mut self) -> bool {
-        let client = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
-            Kind::Client(client) => client.idle_since().map(|at| (at, conn)),
-            _ => None,
-        });
-        let link = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
-            Kind::Link(link) => link.idle_since().map(|at| (at, conn)),
-            _ => None,
+        let idle = self.peers.iter().filter_map(|(conn, peer)| {
+            let since = match &peer.kind {
+                Kind::Client(client) => client.idle_since(),
+                Kind::Link(link) => link.idle_since(),
+                Kind::Call(_) => None,
+            };
+            since.map(|since| (since, conn))
         });
-        if let Some((_, conn)) = client.min() {
-            self.counters.clients_turned_loose += 1;
-            self.close_client(conn);
-        } else if let Some((_, conn)) = link.min() {
-            self.close_link(conn);
-        } else {
-            return false;
+        let Some((_, conn)) = idle.min() else { return false };
+        match self.peers[conn].kind {
+            Kind::Client(_) => self.part_with(conn),
+            _ => self.close_link(conn),
         }
         true
     }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -81,7 +81,7 @@
 
 pub struct Scatter {
     pub nodes: Vec<Place>,
-    /// The calls of this settle.
+    /// The calls of this settle, and those that no socket was free for.
     calls: Vec<(Node, Vec<(usize, usize)>)>,
     call_parts: usize,
     most_parts: usize,
@@ -145,6 +145,10 @@
             if shots.is_empty() {
                 continue;
             }
+            if self.scatter.nodes[node].at.is_none() {
+                shots.into_iter().for_each(|(part, trial)| self.report(part, trial, Outcome::Unreachable));
+                continue;
+            }
             let ids: Vec<Rc<str>> = shots.iter().map(|s| self.gather.parts[s.0].id.clone()).collect();
             match self.room_for(node, &ids).or_else(|| self.open_link(node)) {
                 Some(conn) => {
@@ -154,11 +158,8 @@
                     self.link(conn).queue.push_back(Item::Call(shots));
                     touched.push(conn);
                 }
-                None => {
-                    for (part, trial) in shots {
-                        self.report(part, trial, Outcome::Unreachable);
-                    }
-                }
+                // Short of sockets: that says nothing of the node, so the call waits until one is free.
+                None => self.scatter.calls.push((node, shots)),
             }
         }
         touched.into_iter().for_each(|conn| self.write_link(conn));
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -261,6 +261,16 @@
                 // The index may be used again: what was to be told of this connection is void.
                 self.after.retain(|after| after.conn() != conn);
             }
+            Effect::Part(conn) => {
+                // What has come in, an end too, is met when the loop reads it.
+                let unread = |socket: &Socket| match socket.stream.peek(&mut [0]) {
+                    Err(e) => e.kind() != ErrorKind::WouldBlock,
+                    Ok(_) => true,
+                };
+                if !self.sockets.get(conn).and_then(Option::as_ref).is_some_and(unread) {
+                    self.fail(conn);
+                }
+            }
             Effect::Break(conn) => self.fail(conn),
             Effect::Timer(at) => self.timer = at,
             Effect::Report(lines) => eprint!("{lines}"),
