Decide at most once a tick, as the settings state; a request behind another wakes the router

Faulty: Router::settle asked the module after every turn of the loop, where tickNs states the least time between two batches. Found by the start on loopback: what became known while effects were carried out woke nobody (reducer.rs, the timer was set in settle only). Also: a client that connects and never asks may be turned loose after the longest patience.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -28,15 +28,15 @@
 pub struct Client {
     pub hand: Hand,
     since: Micros,
-    /// It has had an answer. One that has not was opened for a request, which is about to come.
-    served: bool,
+    /// It may be turned loose. One that is new was opened for a request, which is about to come.
+    loose: bool,
     /// It is closed after the answer in hand.
     last: bool,
 }
 
 impl Client {
     pub fn idle_since(&self) -> Option<Micros> {
-        (self.hand == Hand::Empty && self.served).then_some(self.since)
+        (self.hand == Hand::Empty && self.loose).then_some(self.since)
     }
 }
 
@@ -81,16 +81,15 @@
     /// Takes on those that arrived, as far as there are sockets.
     pub fn adopt(&mut self) {
         while self.clients.held_back > 0 {
-            let client = Client { hand: Hand::Empty, since: self.now, served: false, last: false };
+            let client = Client { hand: Hand::Empty, since: self.now, loose: false, last: false };
             let Some(conn) = self.open(Kind::Client(client)) else {
                 return;
             };
             (self.clients.held_back, self.clients.count) =
                 (self.clients.held_back - 1, self.clients.count + 1);
             self.effects.push(Effect::Adopt(conn));
-            if self.closing {
-                self.wake_at(conn, Some(self.now + LINGER));
-            }
+            let wait = if self.closing { LINGER } else { self.clients.longest };
+            self.wake_at(conn, Some(self.now + wait));
         }
     }
 
@@ -131,12 +130,15 @@
     }
 
     pub fn client_alarm(&mut self, conn: Conn) {
-        match self.client(conn).hand {
+        let hand = self.client(conn).hand;
+        match hand {
             Hand::Begun => {
                 self.client(conn).last = true;
                 self.say(conn, 408, "the request took too long to come");
             }
-            Hand::Empty | Hand::Parting => self.leave(conn),
+            Hand::Empty if self.closing => self.leave(conn),
+            Hand::Empty => self.client(conn).loose = true,
+            Hand::Parting => {}
             Hand::Retrieval(_) => {}
             Hand::Answer | Hand::Leaving => self.close_client(conn),
         }
@@ -151,7 +153,7 @@
         if client.last || stopping {
             return self.leave(conn);
         }
-        (client.hand, client.since, client.served) = (Hand::Empty, now, true);
+        (client.hand, client.since, client.loose) = (Hand::Empty, now, true);
         self.wake_at(conn, None);
         self.effects.push(Effect::Read(conn));
     }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -1,5 +1,6 @@
 //! What is in hand of each retrieval, and the answers to clients.
 
+use crate::counters::must;
 use crate::effects::{Conn, Piece};
 use crate::reducer::Desk;
 use serde_json::{Value as Json, json};
@@ -83,7 +84,7 @@
         held.client = None;
     }
 
-    /// The answer's body: the parts that are in, as data nodes gave them.
+    /// The answer's body and how many parts are in: their values as data nodes gave them.
     fn body(&self, retrieval: usize, whole: bool) -> (Vec<u8>, usize) {
         let parts = self.retrievals[retrieval].parts.iter().map(|&part| &self.parts[part]);
         let matches: Vec<Json> = parts
@@ -109,7 +110,8 @@
         *count += 1;
         match end {
             End::Whole | End::Part => {
-                let (body, _) = self.gather.body(retrieval, end == End::Whole);
+                let (body, values) = self.gather.body(retrieval, end == End::Whole);
+                must!(self.counters, values > 0, "an answer has a value");
                 self.reply(conn, 200, "application/json", body, None);
             }
             End::Deferred(wait) => {
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -61,8 +61,10 @@
     pub scatter: Scatter,
     pub discovery: Discovery,
     pub news: Vec<News>,
-    /// The module was told something and has not decided since.
+    /// The module was told something and has not decided since; when it last did, and how often it may.
     pub unsettled: bool,
+    settled: Micros,
+    tick: Micros,
     /// The planned end has begun; new connections no longer come.
     pub stopping: bool,
     pub closing: bool,
@@ -89,6 +91,8 @@
             discovery: Discovery::new(config),
             news: Vec::new(),
             unsettled: true,
+            settled: 0,
+            tick: config.micros("tick_us"),
             stopping: false,
             closing: false,
             most_peers: config.sockets.saturating_sub(OTHER_FILES).max(1),
@@ -129,6 +133,7 @@
             Event::Terminate => self.desk.terminate(),
             Event::Report => self.desk.effects.push(Effect::Report(self.desk.counters.lines())),
         }
+        self.desk.set_wake();
     }
 
     fn alarms(&mut self) {
@@ -156,7 +161,8 @@
         }
     }
 
-    /// Once a turn, after all its events: tells the module what is left to tell and lets it decide.
+    /// Once a turn, after all its events: tells the module what is left to tell and lets it decide, at most
+    /// once in the time that the settings state.
     pub fn settle(&mut self, now: Micros) {
         self.desk.now = now;
         for _ in 0..std::mem::take(&mut self.desk.discovery.unheard) {
@@ -166,7 +172,11 @@
             self.balance.outcome(now, part, trial, node, outcome, lag, &[]);
             self.desk.unsettled = true;
         }
-        if std::mem::take(&mut self.desk.unsettled) {
+        // Guards against deciding on half of what one instant brings: asked for each event alone, the module
+        // sent several times the copies, which kept nodes full that had only just enough room.
+        let due = now >= self.desk.settled + self.desk.tick;
+        if due && std::mem::take(&mut self.desk.unsettled) {
+            self.desk.settled = now;
             self.desk.counters.turns += 1;
             self.balance.settle(now, &mut self.desk);
         }
@@ -176,18 +186,21 @@
         if desk.closing && desk.clients.count == 0 {
             desk.effects.push(Effect::Exit);
         }
-        let next = if desk.news.is_empty() && desk.discovery.unheard == 0 {
-            desk.timers.first().map(|t| t.0)
-        } else {
-            Some(now)
-        };
-        if std::mem::replace(&mut desk.timer, next) != next {
-            desk.effects.push(Effect::Timer(next));
-        }
+        desk.set_wake();
     }
 }
 
 impl Desk {
+    /// Asks to be woken for the first timer, and where something is left to decide on.
+    fn set_wake(&mut self) {
+        let untold = self.unsettled || !self.news.is_empty() || self.discovery.unheard > 0;
+        let settle = untold.then_some(self.settled + self.tick);
+        let next = self.timers.first().map(|t| t.0).into_iter().chain(settle).min();
+        if std::mem::replace(&mut self.timer, next) != next {
+            self.effects.push(Effect::Timer(next));
+        }
+    }
+
     pub fn kind(&self, conn: Conn) -> Option<&Kind> {
         self.peers.get(conn).map(|peer| &peer.kind)
     }
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -13,7 +13,7 @@
     "known":{"revision":41,"complete":true,"members":[
       {"id":"a","host_port":"127.0.0.1:71","locality":"z","cell":0,"phase":"ready","size":1.0,"up_since_ms":0},
       {"id":"b","host_port":"127.0.0.1:72","locality":"z","cell":0,"phase":"ready","size":1.0,"up_since_ms":0}]},
-    "settings":{"tickNs":5000000,"registryMode":"ask","zones":["z"],"instances":1,
+    "settings":{"tickNs":0,"registryMode":"ask","zones":["z"],"instances":1,
       "familyInfo":{"sets":1,"shards":4,"width":1,"bundleMax":4,"floorByClass":[1,1],"needByClass":[1,1]},
       "ceilings":{"maxAttempts":3,"maxStreams":4,"connectTimeoutNs":250000000,"idleCloseNs":3000000000,
         "cancelling":true,"openCap":6},
@@ -168,6 +168,32 @@
     assert_eq!((bench.router.desk.gather.open, bench.router.desk.gather.parts.len()), (0, 0));
 }
 
+#[test]
+fn what_comes_within_a_tick_is_decided_together() {
+    let mut bench = Bench::new();
+    bench.router.desk.tick = 5_000;
+    bench.now += 5_000;
+    bench.ask("look", "t1");
+    bench.now += 1_000;
+    bench.ask("look", "t2");
+    assert_eq!(bench.router.desk.counters.shots_asked, 2);
+    bench.pass(3_000);
+    assert_eq!(bench.router.desk.counters.shots_asked, 2);
+    bench.pass(1_000);
+    assert_eq!(bench.router.desk.counters.shots_asked, 4);
+}
+
+#[test]
+fn a_request_that_lay_behind_another_wakes_the_router() {
+    let mut bench = Bench::new();
+    bench.router.desk.tick = 5_000;
+    let client = bench.client();
+    bench.settle();
+    let body = r#"{"segments":[{"segment":0,"boost":1}],"text":"q"}"#;
+    bench.tell(Event::Received(client, post("look", "t1", body).as_bytes()));
+    assert_eq!(bench.router.desk.timer, Some(START + 5_000));
+}
+
 #[test]
 fn what_was_not_written_whole_never_ran_and_the_rest_may_have() {
     // An effectful part goes out again only on proof that it never ran.
@@ -301,6 +327,10 @@
     bench.tell(Event::Received(clients[3], b"GET /-/ready HTTP/1.1\r\n\r\n"));
     bench.settle();
     assert_eq!((&bench.closed[..], bench.adopted.len()), (&[clients[3]][..], 6));
+    // Nor does one stay for ever that never asks.
+    bench.tell(Event::Arrived);
+    bench.pass(2_100_000);
+    assert_eq!(bench.adopted.len(), 7);
 }
 
 #[test]
