--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -237,14 +237,16 @@
         self.balance.list_begins(now, listing);
         for member in list["members"].as_array().map_or(&[][..], Vec::as_slice) {
             let text = |name: &str| member[name].as_str().unwrap_or("");
-            let (Some(cell), Some(phase)) = (member["cell"].as_u64(), names::phase(text("phase"))) else {
+            let id = Some(text("id")).filter(|id| !id.is_empty());
+            let fields = (id, member["cell"].as_u64(), names::phase(text("phase")));
+            let (Some(id), Some(cell), Some(phase)) = fields else {
                 tracing::warn!("a member of the list could not be used: {member}");
                 continue;
             };
             let zones = &desk.discovery.zones;
             let zone = zones.iter().position(|zone| zone == text("locality")).unwrap_or(zones.len());
             let up_since = member["up_since_ms"].as_i64().unwrap_or(0).saturating_mul(1000);
-            let node = desk.discovery.nodes.take(text("id").to_string());
+            let node = desk.discovery.nodes.take(id.to_string());
             let places = &mut desk.scatter.nodes;
             if places.len() <= node {
                 places.resize(node + 1, Place::default());
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -76,6 +76,8 @@
     pub up_since: Micros,
     /// The number of the last list that named it.
     pub list: u64,
+    /// Its last frame could not be used.
+    garbled: bool,
     links: Vec<Conn>,
 }
 
@@ -354,6 +356,16 @@
         self.report(part, trial, Outcome::Unsent);
     }
 
+    /// A data node and this router do not understand each other; said once until one of its answers is good.
+    fn garbled(&mut self, conn: Conn, why: &str) {
+        self.counters.frames_bad += 1;
+        let node = self.link(conn).node;
+        let place = &mut self.scatter.nodes[node];
+        if !std::mem::replace(&mut place.garbled, true) {
+            tracing::warn!("the data node at {:?} is not understood: {why}", place.at);
+        }
+    }
+
     /// The module hears of this with the next settle.
     fn report(&mut self, part: usize, trial: usize, outcome: Outcome) {
         if let Some((node, lag)) = self.shot_over(part, trial, outcome) {
@@ -410,8 +422,7 @@
                 Read::More => break,
                 Read::Frame(letter, rest, length) if self.frame(conn, letter, rest) => at += length,
                 Read::Frame(..) | Read::Bad => {
-                    self.desk.counters.frames_bad += 1;
-                    tracing::warn!("a data node's frame could not be used, its connection is closed");
+                    self.desk.garbled(conn, "its frame could not be used");
                     return self.desk.effects.push(Effect::Break(conn));
                 }
             }
@@ -433,7 +444,8 @@
                     self.desk.counters.answers_late += 1;
                     return true;
                 };
-                let Out { part, trial, .. } = link.out.remove(at);
+                let (node, Out { part, trial, .. }) = (link.node, link.out.remove(at));
+                self.desk.scatter.nodes[node].garbled = false;
                 if outcome == Outcome::Ok {
                     self.desk.gather.parts[part].value.get_or_insert_with(|| value.to_string());
                 }
@@ -449,9 +461,7 @@
                 true
             }
             b'N' => {
-                let words = String::from_utf8_lossy(rest);
-                tracing::warn!("a data node could not use a frame: {words}");
-                self.desk.counters.frames_bad += 1;
+                self.desk.garbled(conn, &String::from_utf8_lossy(rest));
                 true
             }
             _ => false,
