Accept errors rest the listener; standard error may be closed

Seen on reading and with 24 descriptors under a limit of 1,024: the listener was let on again in the turn in which accepting had failed (serve.rs, Server::turn), so it would spin.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -82,9 +82,7 @@
     pub fn adopt(&mut self) {
         while self.clients.held_back > 0 {
             let client = Client { hand: Hand::Empty, since: self.now, loose: false, last: false };
-            let Some(conn) = self.open(Kind::Client(client)) else {
-                return;
-            };
+            let Some(conn) = self.open(Kind::Client(client)) else { return };
             (self.clients.held_back, self.clients.count) =
                 (self.clients.held_back - 1, self.clients.count + 1);
             self.effects.push(Effect::Adopt(conn));
@@ -138,8 +136,7 @@
             }
             Hand::Empty if self.closing => self.leave(conn),
             Hand::Empty => self.client(conn).loose = true,
-            Hand::Parting => {}
-            Hand::Retrieval(_) => {}
+            Hand::Parting | Hand::Retrieval(_) => {}
             Hand::Answer | Hand::Leaving => self.close_client(conn),
         }
     }
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -255,7 +255,7 @@
 
     fn terminate(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
-            tracing::info!("told to end, {} retrievals in hand", self.gather.open);
+            tracing::info!("told to end, {} retrievals and parts in hand", self.gather.open);
             self.timers.insert((self.now + STILL_COMING, Alarm::Stop));
         }
     }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -21,7 +21,7 @@
 /// How many pieces go out with one gathered write.
 const MOST_PIECES: usize = 64;
 /// How long to leave the listener alone when accepting fails.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+const ACCEPT_PAUSE: Micros = 100_000;
 
 /// Unix microseconds read once, and monotonic time since.
 struct Clock {
@@ -78,6 +78,8 @@
     listener: Rc<TcpListener>,
     listening: RegistrationToken,
     listens: bool,
+    /// Until when the listener is left alone because accepting failed, 0 where it does not fail.
+    accepts_at: Micros,
     knocked: bool,
     arrived: VecDeque<TcpStream>,
     signals: Vec<Signal>,
@@ -120,6 +122,7 @@
         listener,
         listening,
         listens: true,
+        accepts_at: 0,
         knocked: false,
         arrived: VecDeque::new(),
         signals: Vec::new(),
@@ -133,19 +136,24 @@
         events.dispatch(wait, &mut server).map_err(|e| failed("event loop", &e))?;
         server.turn();
     }
-    eprint!("{}", server.router.desk.counters.lines());
+    print(&server.router.desk.counters.lines());
     Ok(())
 }
 
+/// Prints to standard error, to which nobody may listen any more.
+fn print(lines: &str) {
+    let _ = std::io::stderr().write_all(lines.as_bytes());
+}
+
 impl Server {
     fn wait(&self) -> Option<Duration> {
         let now = self.clock.now();
         if !self.ready.is_empty() {
             return Some(Duration::ZERO);
         }
-        let timer = self.timer.map(|at| Duration::from_micros((at - now).max(0) as u64));
-        let pause = (!self.listens && self.arrived.is_empty()).then_some(ACCEPT_PAUSE);
-        timer.into_iter().chain(pause).min()
+        let accept = (!self.listens && self.arrived.is_empty()).then_some(self.accepts_at);
+        let next = self.timer.into_iter().chain(accept).min();
+        next.map(|at| Duration::from_micros((at - now).max(0) as u64))
     }
 
     /// Tells the reducer all that came in, then has it decide once.
@@ -163,7 +171,7 @@
             self.tell(Event::Alarm);
         }
         self.settle();
-        if !self.listens && self.arrived.is_empty() {
+        if !self.listens && self.arrived.is_empty() && self.clock.now() >= self.accepts_at {
             self.listens = self.handle.enable(&self.listening).is_ok();
         }
     }
@@ -182,6 +190,7 @@
         while self.arrived.is_empty() {
             match self.listener.accept() {
                 Ok((stream, _)) => {
+                    self.accepts_at = 0;
                     if stream.set_nonblocking(true).is_ok() {
                         let _ = stream.set_nodelay(true);
                         self.arrived.push_back(stream);
@@ -191,7 +200,10 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    tracing::warn!("accepting failed, it is tried again in {ACCEPT_PAUSE:?}: {e}");
+                    if self.accepts_at == 0 {
+                        tracing::warn!("accepting fails, clients wait: {e}");
+                    }
+                    self.accepts_at = self.clock.now() + ACCEPT_PAUSE;
                     break;
                 }
             }
@@ -273,7 +285,7 @@
             }
             Effect::Break(conn) => self.fail(conn),
             Effect::Timer(at) => self.timer = at,
-            Effect::Report(lines) => eprint!("{lines}"),
+            Effect::Report(lines) => print(&lines),
             Effect::Exit => self.done = true,
         }
     }
