--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -74,6 +74,10 @@
             if settings.number(&format!("grade.{i}.patience_us")).is_none_or(|t| t <= 0.0) {
                 return Err(format!("settings.services: {name}: deadlineNs is missing or not positive"));
             }
+            // Without the client's mark a data node can't tell a repeat, and the protocol names no way to send it.
+            if settings.text(&format!("grade.{i}.effect")) == "receipted" {
+                return Err(format!("settings.services: {name}: idempotency_key is not served"));
+            }
             if settings.number(&format!("grade.{i}.second_step")).is_some_and(|n| n >= 1.0) {
                 return Err(format!("settings.familyInfo.secondStep: {name}: second steps are not served"));
             }
@@ -111,7 +115,7 @@
     fn what_a_configuration_lacks_is_named() {
         let whole = serde_json::json!({"name": "r0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
             "seed": "8c1f30d27a5be964", "limits": {"sockets": 64}, "known": {"members": []},
-            "settings": {"services": [{"name": "look", "deadlineNs": 1e9}],
+            "settings": {"services": [{"name": "look", "idempotency": "read_like", "deadlineNs": 1e9}],
                 "familyInfo": {"sets": 1, "shards": 1, "width": 1, "bundleMax": 1},
                 "ceilings": {"maxStreams": 1, "connectTimeoutNs": 1e6, "idleCloseNs": 1e9}}});
         let config = Config::parse(&whole.to_string()).expect("fit to serve");
@@ -123,6 +127,7 @@
             ("/known/members", 3.into(), "known.members"),
             ("/limits/sockets", "many".into(), "limits/sockets"),
             ("/settings/services/0/deadlineNs", 0.into(), "deadlineNs"),
+            ("/settings/services/0/idempotency", "idempotency_key".into(), "idempotency_key"),
             ("/settings/familyInfo/shards", Json::Null, "familyInfo.shards"),
             ("/settings", 1.into(), "settings"),
         ] {
