--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -44,6 +44,7 @@
     node: Node,
     to: SocketAddr,
     up: bool,
+    /// When it was asked for, then when it came up; since when it is idle.
     opened: Micros,
     since: Micros,
     /// What has not begun to be written and can be taken back.
@@ -158,7 +159,7 @@
     pub fn link_up(&mut self, conn: Conn) {
         let now = self.now;
         let link = self.link(conn);
-        (link.up, link.since) = (true, now);
+        (link.up, link.opened, link.since) = (true, now, now);
         self.wake_at(conn, None);
         self.write_link(conn);
         self.rest(conn);
@@ -184,8 +185,8 @@
                         let line = frames::part_line(&held.id, held.shard, wait, text.len());
                         pieces.extend([line.into_bytes().into(), text.clone()]);
                     }
-                    (self.counters.calls_sent, self.counters.shots_sent) =
-                        (self.counters.calls_sent + 1, self.counters.shots_sent + shots.len() as u64);
+                    self.counters.calls_sent += 1;
+                    self.counters.shots_sent += shots.len() as u64;
                     b'R'
                 }
                 Item::GiveUp(id) => {
