--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -74,7 +74,7 @@
             if settings.number(&format!("grade.{i}.patience_us")).is_none_or(|t| t <= 0.0) {
                 return Err(format!("settings.services: {name}: deadlineNs is missing or not positive"));
             }
-            // Without the client's mark a data node can't tell a repeat, and the protocol names no way to send it.
+            // Without the client's mark a node can't tell a repeat, and the protocol names no way to send it.
             if settings.text(&format!("grade.{i}.effect")) == "receipted" {
                 return Err(format!("settings.services: {name}: idempotency_key is not served"));
             }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -246,9 +246,9 @@
         }
     }
 
-    /// What a list says of a node's connections. Guards against connections to a process that is no more: a
-    /// machine that vanished leaves them silent, and what is sent on one is lost. At a node that takes nothing
-    /// new, or not at this address any more, what has not begun to be written is taken back.
+    /// What a list says of a node's connections. Guards against connections to a process that is no more:
+    /// a machine that vanished leaves them silent, and what is sent on one is lost. At a node that takes
+    /// nothing new, or not at this address any more, what has not begun to be written is taken back.
     pub fn turn_from(&mut self, node: Node) {
         let place = self.scatter.nodes[node].clone();
         if !place.ready {
