SIGHUP rereads the configuration and moves watch and lists to the new discovery

Cause: serve.rs listed SIGTERM, SIGINT and SIGUSR1 only, so the default action of SIGHUP ended the process. Now the file is read anew; what can't be used leaves all as it was and says why in one line; another discovery address ends every call to the old one, so that none of its answers can come late, and revisions start anew.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -63,6 +63,17 @@
         config.checked()
     }
 
+    /// The fields that differ in a newer configuration and are only heeded at a start.
+    pub fn needs_restart(&self, newer: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("limits", self.sockets == newer.sockets),
+            ("settings", self.settings == newer.settings),
+        ];
+        same.into_iter().filter(|field| !field.1).map(|field| field.0).collect()
+    }
+
     /// Says which setting the router can't serve with.
     fn checked(self) -> Result<Config, String> {
         let settings = &self.settings;
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::config::{Config, numbered};
 use crate::effects::{Conn, Effect};
 use crate::http::{self, Chunk, Framing, MOST_BODY};
-use crate::reducer::{Alarm, Desk, Kind, Router};
+use crate::reducer::{Alarm, Desk, Kind, Peer, Router};
 use crate::scatter::Place;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
@@ -77,6 +77,24 @@
         Some(conn)
     }
 
+    /// Turns to another address: what is under way at the old one begins anew there, so that no late answer
+    /// of the old one overwrites the new one's. Revisions of the one mean nothing to the other.
+    pub fn move_discovery(&mut self, at: SocketAddr) {
+        if at == self.discovery.at {
+            return;
+        }
+        tracing::info!("discovery moves from {} to {at}", self.discovery.at);
+        (self.discovery.at, self.discovery.revision) = (at, 0);
+        let list =
+            |(conn, peer): (Conn, &Peer)| matches!(&peer.kind, Kind::Call(c) if !c.watch).then_some(conn);
+        let lists: Vec<Conn> = self.peers.iter().filter_map(list).collect();
+        for conn in lists {
+            self.close(conn);
+            self.call(false);
+        }
+        self.watch(true);
+    }
+
     pub fn call_up(&mut self, conn: Conn) {
         let Discovery { at, revision, .. } = self.discovery;
         let query = match &self.peers[conn].kind {
--- a/crates/router/src/effects.rs
+++ b/crates/router/src/effects.rs
@@ -23,6 +23,8 @@
     Ended(Conn, u64),
     /// Time has passed.
     Alarm,
+    /// The configuration was replaced: discovery stands at this address now.
+    Discovery(SocketAddr),
     /// The process is to stop.
     Terminate,
     /// The counters are wanted.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -56,18 +56,21 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn read(path: Option<String>) -> Result<Config, String> {
+fn read(path: Option<String>) -> Result<(Config, String), String> {
     let path = path.or_else(|| std::env::var("LB_CONFIG").ok());
-    Config::read(&path.ok_or("neither --config nor LB_CONFIG names a configuration")?)
+    let path = path.ok_or("neither --config nor LB_CONFIG names a configuration")?;
+    Ok((Config::read(&path)?, path))
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).without_time().init();
     let done = match args.command {
-        Command::Serve(Serve { config }) => read(config).and_then(|config| serve::serve(&config)),
+        Command::Serve(Serve { config }) => {
+            read(config).and_then(|(config, path)| serve::serve(config, path))
+        }
         Command::Check(Check { config }) => {
-            read(config).map(|config| println!("{}: fit to serve", config.name))
+            read(config).map(|read| println!("{}: fit to serve", read.0.name))
         }
         Command::Version(Version {}) => {
             println!("yewpier {}", env!("CARGO_PKG_VERSION"));
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -131,6 +131,7 @@
                 None => {}
             },
             Event::Alarm => self.alarms(),
+            Event::Discovery(at) => self.desk.move_discovery(at),
             Event::Terminate => self.desk.terminate(),
             Event::Report => self.desk.effects.push(Effect::Report(self.desk.counters.lines())),
         }
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -4,6 +4,7 @@
 use crate::effects::Piece;
 use crate::frames;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use yewpier::Listing;
 
 const START: Micros = 1_700_000_000_000_000;
@@ -471,6 +472,32 @@
     }
 }
 
+#[test]
+fn discovery_that_moves_is_watched_anew_and_its_old_address_is_heard_no_more() {
+    let mut bench = Bench::new();
+    let client = bench.ask("look", "t1");
+    let (link, _) = bench.up();
+    let old = bench.links[0].0;
+    bench.router.desk.call(false);
+    bench.effects();
+    let list = bench.links.last().expect("a call").0;
+    bench.tell(Event::Discovery("127.0.0.1:9".parse().expect("an address")));
+    assert!(bench.closed.is_empty(), "the same address changes nothing");
+    for port in [10, 11] {
+        bench.tell(Event::Discovery(SocketAddr::from(([127, 0, 0, 1], port))));
+    }
+    assert!(bench.closed.contains(&old) && bench.closed.contains(&list));
+    let calls: Vec<Conn> = bench.links.iter().filter(|link| link.1 == 11).map(|link| link.0).collect();
+    assert!(calls.len() == 2 && !bench.links.iter().any(|link| link.1 == 9 || link.1 == 10));
+    calls.iter().for_each(|&call| bench.tell(Event::Up(call)));
+    // The new one's revisions are its own.
+    assert!(calls.iter().any(|&call| bench.said(call).starts_with("GET /api/targets?watch=1&after=0 ")));
+    bench.answer(link, "t1.0 OK 5 -", "alpha");
+    bench.answer(link, "t1.1 OK 5 -", "beta");
+    bench.settle();
+    assert!(bench.said(client).starts_with("HTTP/1.1 200"));
+}
+
 #[test]
 fn a_drained_node_and_a_new_process_take_back_what_was_meant_for_the_old() {
     let mut bench = Bench::new();
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -70,6 +70,9 @@
 
 struct Server {
     handle: LoopHandle<'static, Server>,
+    /// The configuration at the start and where it lies.
+    config: Config,
+    path: String,
     clock: Clock,
     router: Router,
     sockets: Vec<Option<Socket>>,
@@ -88,7 +91,7 @@
     done: bool,
 }
 
-pub fn serve(config: &Config) -> Result<(), String> {
+pub fn serve(config: Config, path: String) -> Result<(), String> {
     let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
     let mut events: EventLoop<'static, Server> =
         EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
@@ -102,18 +105,20 @@
             Ok(PostAction::Continue)
         })
         .map_err(|e| failed("listener", &e))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]);
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1]);
     handle
         .insert_source(signals.map_err(|e| failed("signals", &e))?, |event, _, server: &mut Server| {
             server.signals.push(event.signal());
         })
         .map_err(|e| failed("signals", &e))?;
     let clock = Clock::new();
-    let router = Router::new(config, clock.now());
+    let router = Router::new(&config, clock.now());
     let at = listener.local_addr().map_err(|e| failed("listener", &e))?;
     tracing::info!("{} listens on {at}", config.name);
     let mut server = Server {
         handle,
+        config,
+        path,
         clock,
         router,
         sockets: Vec::new(),
@@ -165,7 +170,11 @@
             self.accept();
         }
         for signal in std::mem::take(&mut self.signals) {
-            self.tell(if signal == Signal::SIGUSR1 { Event::Report } else { Event::Terminate });
+            match signal {
+                Signal::SIGUSR1 => self.tell(Event::Report),
+                Signal::SIGHUP => self.reload(),
+                _ => self.tell(Event::Terminate),
+            }
         }
         if self.timer.is_some_and(|at| at <= self.clock.now()) {
             self.tell(Event::Alarm);
@@ -176,6 +185,20 @@
         }
     }
 
+    /// Reads the configuration anew. One that can't be used changes nothing.
+    fn reload(&mut self) {
+        match Config::read(&self.path) {
+            Ok(newer) => {
+                let held = self.config.needs_restart(&newer);
+                if !held.is_empty() {
+                    tracing::warn!("heeded at the next start only: {}", held.join(", "));
+                }
+                self.tell(Event::Discovery(newer.discovery));
+            }
+            Err(why) => tracing::warn!("the configuration stays as it was: {why}"),
+        }
+    }
+
     fn settle(&mut self) {
         self.router.settle(self.clock.now());
         self.carry_out();
--- a/crates/router/tests/loopback.rs
+++ b/crates/router/tests/loopback.rs
@@ -106,6 +106,13 @@
     send(&mut client, "GET /-/ready HTTP/1.1\r\n\r\n");
     assert_eq!(answer(&mut client), ("HTTP/1.1 200 OK\r\n".into(), "OK\n".into()));
 
+    // A configuration that can't be read any more changes nothing.
+    let pid = Pid::from_raw(router.id() as i32).expect("a process");
+    kill_process(pid, Signal::HUP).expect("it runs");
+    line.clear();
+    log.read_line(&mut line).expect("a line");
+    assert!(line.contains("the configuration stays as it was"), "{line}");
+
     // Eight parts make two calls or more; the head comes in pieces, the next request right behind the body.
     let segments: Vec<String> = (0..8).map(|i| format!("{{\"segment\":{i},\"boost\":0.125}}")).collect();
     let body = format!("{{\"segments\":[{}],\"text\":\"q\"}}", segments.join(","));
@@ -124,7 +131,6 @@
         assert!(values.eq(due), "{body}");
     }
 
-    let pid = Pid::from_raw(router.id() as i32).expect("a process");
     kill_process(pid, Signal::TERM).expect("it runs");
     // The idle connection ends between requests, then the process.
     let mut rest = Vec::new();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,7 +11,7 @@
 }
 
 /// The map that a front hands to the module at start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings(pub BTreeMap<String, Value>);
 
 impl Settings {
