--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -68,8 +68,11 @@
     /// The last parts given up that may still be answered here, and the last one answered.
     stale: VecDeque<Rc<str>>,
     answered: Option<Rc<str>>,
-    /// More came than belongs here: nothing new goes out on it.
+    /// More came than belongs here, or nothing where something was due: nothing new goes out on it.
     worn: bool,
+    /// When the last whole frame came; since when one has begun, and the shot that it names.
+    heard: Micros,
+    begun: Option<(Micros, Option<ShotId>)>,
     cut: Cut,
     /// When the probes were sent that are not answered yet.
     probes: VecDeque<Micros>,
@@ -90,14 +93,16 @@
         self.queue.push_back(Item::Call(shots));
     }
 
-    /// Gives up a shot; the node is told of one that was written.
-    pub fn leave(&mut self, shot: ShotId, id: &Rc<str>, most: usize) -> Left {
+    /// Gives up a shot; the node is told of one that was written. Guards against a connection that fell
+    /// silent while its node is well: one that has said nothing since a shot that was `due` is worn.
+    pub fn leave(&mut self, shot: ShotId, id: &Rc<str>, most: usize, due: Option<Micros>) -> Left {
         if let Some(at) = self.out.iter().position(|out| (out.part, out.trial) == shot) {
             if self.out[at].end > self.flushed {
                 self.cut = Cut::Ours;
                 return Left::HalfWritten;
             }
             self.out.remove(at);
+            self.worn |= due.is_some_and(|at| self.heard < at);
             if self.stale.len() == most {
                 self.stale.pop_front();
             }
@@ -115,6 +120,13 @@
         Left::Unsent
     }
 
+    /// The shot out here whose id stands at the beginning of these bytes.
+    fn named(&self, bytes: &[u8]) -> Option<ShotId> {
+        let begin = &bytes[..bytes.len().min(BEGIN)];
+        let names = |out: &&Out| begin.windows(out.id.len()).any(|window| window == out.id.as_bytes());
+        self.out.iter().find(names).map(|out| (out.part, out.trial))
+    }
+
     fn queued(&self) -> impl Iterator<Item = ShotId> + '_ {
         let calls = self
             .queue
@@ -171,6 +183,8 @@
             stale: VecDeque::new(),
             answered: None,
             worn: false,
+            heard: 0,
+            begun: None,
             cut: Cut::No,
             probes: VecDeque::new(),
         };
@@ -178,7 +192,7 @@
         self.counters.links_opened += 1;
         self.scatter.nodes[node].links.push(conn);
         self.effects.push(Effect::Connect(conn, to));
-        self.wake_at(conn, Some(self.now + self.scatter.connect));
+        self.set_link_alarm(conn);
         Some(conn)
     }
 
@@ -186,11 +200,22 @@
         let now = self.now;
         let link = self.link(conn);
         (link.up, link.opened) = (true, now);
-        self.wake_at(conn, None);
         self.write_link(conn);
         self.rest(conn);
     }
 
+    /// A connection is looked at again when it must be up, end the frame that it began, or has rested.
+    fn set_link_alarm(&mut self, conn: Conn) {
+        let (connect, idle) = (self.scatter.connect, self.scatter.idle);
+        let link = self.link(conn);
+        let at = match link.begun {
+            _ if !link.up => Some(link.opened + connect),
+            Some((since, _)) => Some(since + connect),
+            None => link.idle_since().map(|since| since + idle),
+        };
+        self.wake_at(conn, at);
+    }
+
     /// Hands what waits for a connection to the loop, once all before it is written.
     pub fn write_link(&mut self, conn: Conn) {
         let (now, probe) = (self.now, self.scatter.probe);
@@ -235,8 +260,8 @@
                 }));
             }
         }
-        self.wake_at(conn, None);
-        self.effects.push(Effect::Write(conn, pieces));
+        self.effects.push(Effect::Send(conn, pieces));
+        self.set_link_alarm(conn);
     }
 
     pub fn link_flushed(&mut self, conn: Conn) {
@@ -246,17 +271,17 @@
         self.rest(conn);
     }
 
-    /// A connection with nothing to do is closed before its idle time is over.
+    /// A connection with nothing to do is closed before its idle time is over, a worn one at once.
     pub fn rest(&mut self, conn: Conn) {
-        let (now, idle) = (self.now, self.scatter.idle);
+        let now = self.now;
         let link = self.link(conn);
         if link.idle_since().is_some() {
             if link.worn {
                 return self.close_link(conn);
             }
             link.since = now;
-            self.wake_at(conn, Some(now + idle));
         }
+        self.set_link_alarm(conn);
     }
 
     /// Closes a connection on which nothing is out.
@@ -333,25 +358,32 @@
             match frames::read(&bytes[at..]) {
                 Read::More => break,
                 Read::Frame(letter, rest, length) if self.frame(conn, letter, rest) => at += length,
-                Read::Frame(..) | Read::Bad => return self.link_spoilt(conn, &bytes[at..]),
+                Read::Frame(..) | Read::Bad => {
+                    let named = self.desk.link(conn).named(&bytes[at..]);
+                    return self.link_spoilt(conn, named);
+                }
             }
         }
+        let (now, link) = (self.desk.now, self.desk.link(conn));
+        let since = link.begun.filter(|_| at == 0).map_or(now, |begun| begun.0);
+        link.begun = (at < bytes.len()).then(|| (since, link.named(&bytes[at..])));
+        if at > 0 {
+            link.heard = now;
+        }
         self.desk.effects.push(Effect::Taken(conn, at));
         self.desk.rest(conn);
     }
 
-    /// Closes a connection on which something came that can't be used. Guards against good nodes being
-    /// taken for fallen ones: answers are spoilt on the way too. It is told of one shot, the one that the
-    /// bytes name or else the oldest; the others out here are given up by the close.
-    fn link_spoilt(&mut self, conn: Conn, bytes: &[u8]) {
+    /// Closes a connection on which something came that can't be used, or did not come to its end. Guards
+    /// against good nodes being taken for fallen ones: answers are spoilt on the way too. It is told of one
+    /// shot, the one `named` or else the oldest; the others out here are given up by the close.
+    fn link_spoilt(&mut self, conn: Conn, named: Option<ShotId>) {
         let link = self.desk.link(conn);
-        let begin = &bytes[..bytes.len().min(BEGIN)];
-        let named = |out: &&Out| begin.windows(out.id.len()).any(|window| window == out.id.as_bytes());
-        let spoilt = link.out.iter().find(named).or(link.out.first());
-        link.cut = spoilt.map_or(Cut::Ours, |out| Cut::Spoilt((out.part, out.trial)));
-        match link.cut {
-            Cut::Ours => self.desk.counters.frames_beyond += 1,
-            _ => self.desk.garbled(conn, "its frame could not be used"),
+        let spoilt = named.or(link.out.first().map(|out| (out.part, out.trial)));
+        link.cut = spoilt.map_or(Cut::Ours, Cut::Spoilt);
+        match spoilt {
+            None => self.desk.counters.frames_beyond += 1,
+            Some(_) => self.desk.garbled(conn, "its frame could not be used"),
         }
         self.desk.effects.push(Effect::Break(conn));
     }
@@ -411,12 +443,12 @@
     }
 
     pub fn link_alarm(&mut self, conn: Conn) {
-        let idle = self.desk.scatter.idle;
-        let (now, link) = (self.desk.now, self.desk.link(conn));
-        match link.idle_since() {
-            Some(since) if now - since >= idle => self.desk.close_link(conn),
+        let link = self.desk.link(conn);
+        match link.begun {
             _ if !link.up => self.link_ended(conn, 0),
-            _ => {}
+            Some((_, named)) => self.link_spoilt(conn, named),
+            None if link.idle_since().is_some() => self.desk.close_link(conn),
+            None => {}
         }
     }
 
@@ -426,7 +458,8 @@
         let (node, up, cut) = (link.node, link.up, link.cut);
         let queued: Vec<ShotId> = link.queued().collect();
         let out = std::mem::take(&mut link.out);
-        let unsent = if cut == Cut::No { Outcome::Unreachable } else { Outcome::Unsent };
+        // One that was up and ends before a frame is written says nothing of whether its node can be reached.
+        let unsent = if up { Outcome::Unsent } else { Outcome::Unreachable };
         if !up {
             self.desk.counters.links_failed += 1;
         }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -116,8 +116,11 @@
             return;
         }
         let Some(conn) = shot.link else { return self.report(part, trial, Outcome::Unsent) };
-        let (id, most) = (self.gather.parts[part].id.clone(), self.scatter.most_parts);
-        match self.link(conn).leave((part, trial), &id, most) {
+        // Something was due if another shot was answered first, or in the time that a connection may take.
+        let held = &self.gather.parts[part];
+        let due = held.value.is_some() || self.now - shot.at >= self.scatter.connect;
+        let (id, due, most) = (held.id.clone(), due.then_some(shot.at), self.scatter.most_parts);
+        match self.link(conn).leave((part, trial), &id, most, due) {
             Left::Unsent => self.report(part, trial, Outcome::Unsent),
             Left::HalfWritten => self.effects.push(Effect::Break(conn)),
             Left::Written => {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -284,6 +284,16 @@
                     self.write(conn);
                 }
             }
+            Effect::Send(conn, pieces) => {
+                let closed = |socket: &Socket| match socket.stream.peek(&mut [0]) {
+                    Err(e) => e.kind() != ErrorKind::WouldBlock,
+                    Ok(count) => count == 0,
+                };
+                if self.sockets.get(conn).and_then(Option::as_ref).is_some_and(closed) {
+                    return self.fail(conn);
+                }
+                self.effect(Effect::Write(conn, pieces));
+            }
             Effect::Finish(conn) => {
                 if let Some(Some(socket)) = self.sockets.get(conn) {
                     let _ = socket.stream.shutdown(Shutdown::Write);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -510,14 +510,19 @@
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt on the way, at all nodes alike: one alone bars none, two in a row do.
-            Outcome::Spoilt if node.record(grade).strikes == 0 => return node.record_mut(grade).strikes = 1,
+            // Guards against answers spoilt and connections broken on the way, at all nodes alike: one episode
+            // alone bars none and is no fall, the next does before it has answered anything.
+            Outcome::Spoilt | Outcome::Broken if node.record(grade).strikes == 0 || node.struck == now => {
+                node.struck = now;
+                return node.record_mut(grade).strikes = node.record(grade).strikes.max(1);
+            }
             // Guards against a late list: what broke or could not be reached comes back cold, if at all.
             Outcome::Broken | Outcome::Unreachable => node.up_since = now,
             _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
             _ => {}
         }
-        if outcome == Outcome::Broken && now >= node.record(grade).barred_until {
+        let fell = matches!(outcome, Outcome::Broken | Outcome::Unreachable);
+        if fell && node.record(grade).strikes == 1 && now >= node.record(grade).barred_until {
             self.falls.push(now, 1.0);
         }
         if !matches!(outcome, Outcome::Error | Outcome::Spoilt) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,6 +164,8 @@
     pub records: Vec<Record>,
     /// Its last answer, or when its connections were last closed.
     pub heard: Micros,
+    /// When it was last struck without being barred.
+    pub struck: Micros,
     /// Refusals as full since its last answer, and until when it is left alone for them.
     pub fulls: u32,
     pub full_until: Micros,
@@ -188,6 +190,7 @@
             sent: Samples::new(many),
             records: Vec::new(),
             heard: Micros::MAX,
+            struck: 0,
             fulls: 0,
             full_until: 0,
         }
