--- a/src/balance.rs
+++ b/src/balance.rs
@@ -497,7 +497,7 @@
             Outcome::Ok => {
                 let record = node.record_mut(grade);
                 (record.strikes, record.last_ok) = (record.strikes / 2, now);
-                (node.fulls, node.full_until, node.heard) = (0, now, now);
+                (node.fulls, node.full_until, node.heard, node.struck) = (0, now, now, 0);
                 node.lags.push(now, lag as f64);
                 self.lags.push(now, lag as f64);
                 Samples::at(&mut self.zones, node.zone, 64).push(now, lag as f64);
@@ -510,19 +510,16 @@
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt and connections broken on the way, at all nodes alike: one episode
-            // alone bars none and is no fall, the next does before it has answered anything.
-            Outcome::Spoilt | Outcome::Broken if node.record(grade).strikes == 0 || node.struck == now => {
-                node.struck = now;
-                return node.record_mut(grade).strikes = node.record(grade).strikes.max(1);
-            }
+            // Guards against answers spoilt and connections broken on the way, at all nodes alike: once says
+            // nothing of the node, twice does if it answered nothing between, or can't be reached then.
+            Outcome::Spoilt | Outcome::Broken if [0, now].contains(&node.struck) => return node.struck = now,
             // Guards against a late list: what broke or could not be reached comes back cold, if at all.
             Outcome::Broken | Outcome::Unreachable => node.up_since = now,
             _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
             _ => {}
         }
         let fell = matches!(outcome, Outcome::Broken | Outcome::Unreachable);
-        if fell && node.record(grade).strikes == 1 && now >= node.record(grade).barred_until {
+        if fell && node.record(grade).barred_until < node.struck {
             self.falls.push(now, 1.0);
         }
         if !matches!(outcome, Outcome::Error | Outcome::Spoilt) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,7 +164,7 @@
     pub records: Vec<Record>,
     /// Its last answer, or when its connections were last closed.
     pub heard: Micros,
-    /// When it was last struck without being barred.
+    /// When an answer of its was spoilt or a connection broke, 0 once it has answered since.
     pub struck: Micros,
     /// Refusals as full since its last answer, and until when it is left alone for them.
     pub fulls: u32,
@@ -212,6 +212,7 @@
         self.up_since = up_since;
         self.records.clear();
         self.lags.clear();
+        self.struck = 0;
     }
 
     /// Takes a shot out of those in flight.
