--- a/src/balance.rs
+++ b/src/balance.rs
@@ -326,7 +326,7 @@
         let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade, n));
         // An effectful part gets no other shot, so its first choice must be proven.
         let effectful = self.grades[grade].effect == Effect::Effectful;
-        let doubt = record.strikes > 0 && (!node.out.is_empty() || effectful);
+        let doubt = node.in_doubt(grade) && (!node.out.is_empty() || effectful);
         if overdue || doubt { OPEN } else { SOUND }
     }
 
@@ -335,7 +335,7 @@
         let (node, call, few) = (&self.nodes[n], self.site.call_parts, self.site.call_parts.max(2));
         // Departure: among many routers one call each is too much for a node: under that a bound is a pause,
         // and what failed is tried with a part. Guards against jams that all the tries together keep up.
-        let struck = node.record(grade).strikes > 0;
+        let struck = node.in_doubt(grade);
         if node.bound < few as f64 || struck {
             let open = node.out.is_empty() && self.now >= node.open_at;
             let most = if struck { self.least().ceil() as usize } else { few };
@@ -510,16 +510,15 @@
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt and connections broken on the way, at all nodes alike: once says
-            // nothing of the node, twice does if it answered nothing between, or can't be reached then.
+            // Guards against answers spoilt and connections broken on the way, at all nodes alike: once makes
+            // for doubt, twice for a bar if it answered nothing between, and a fall is out of reach after it.
             Outcome::Spoilt | Outcome::Broken if [0, now].contains(&node.struck) => return node.struck = now,
-            // Guards against a late list: what broke or could not be reached comes back cold, if at all.
-            Outcome::Broken | Outcome::Unreachable => node.up_since = now,
+            // Guards against a late list: what could not be reached comes back cold, if at all.
+            Outcome::Unreachable => node.up_since = now,
             _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
             _ => {}
         }
-        let fell = matches!(outcome, Outcome::Broken | Outcome::Unreachable);
-        if fell && node.record(grade).barred_until < node.struck {
+        if outcome == Outcome::Unreachable && node.record(grade).barred_until < node.struck {
             self.falls.push(now, 1.0);
         }
         if !matches!(outcome, Outcome::Error | Outcome::Spoilt) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -200,6 +200,11 @@
         self.records.get(grade).copied().unwrap_or_default()
     }
 
+    /// Whether it owes an answer since something went wrong.
+    pub fn in_doubt(&self, grade: usize) -> bool {
+        self.struck > 0 || self.record(grade).strikes > 0
+    }
+
     pub fn record_mut(&mut self, grade: usize) -> &mut Record {
         if self.records.len() <= grade {
             self.records.resize(grade + 1, Record::default());
