--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -144,28 +144,38 @@
         }
     }
 
-    /// A connection with room for parts of these ids: one that is up before one that is not yet. Answers
-    /// bear no number of a trial, so no part goes out twice on one connection.
-    pub fn room_for(&self, node: Node, ids: &[Rc<str>]) -> Option<Conn> {
+    /// A connection for parts of these ids: an idle one, the longest idle first since its node may close it
+    /// right behind an answer, else a new one, else one with
+    /// room. Guards against what befalls a connection befalling all that is out on it: calls share one only
+    /// where a node's share of the sockets is used up. Answers bear no number of a trial, so no part goes
+    /// out twice on one connection.
+    pub fn link_for(&mut self, node: Node, ids: &[Rc<str>]) -> Option<Conn> {
         let (most, idle, now) = (self.scatter.most_parts, self.scatter.idle, self.now);
         let place = &self.scatter.nodes[node];
-        let fits = |conn: &&Conn| {
-            let Kind::Link(link) = &self.peers[**conn].kind else { return false };
-            let fresh = link.idle_since().is_none_or(|since| now - since < idle);
+        let rated = place.links.iter().filter_map(|&conn| {
+            let Kind::Link(link) = &self.peers[conn].kind else { return None };
             let known = |id: &Rc<str>| {
                 link.stale.contains(id)
                     || link.out.iter().any(|out| out.id == *id)
                     || link.queued().any(|(part, _)| self.gather.parts[part].id == *id)
             };
-            place.at == Some(link.to)
-                && fresh
+            let rests = link.idle_since();
+            let fits = place.at == Some(link.to)
                 && !link.worn
+                && rests.is_none_or(|since| now - since < idle)
                 && link.load() + ids.len() <= most
-                && !ids.iter().any(known)
-        };
-        let up = |conn: &&Conn| matches!(&self.peers[**conn].kind, Kind::Link(link) if link.up);
-        let links = || place.links.iter().filter(fits);
-        links().find(up).or_else(|| links().next()).copied()
+                && !ids.iter().any(known);
+            fits.then_some((rests.is_none(), rests, !link.up, link.load(), conn))
+        });
+        let best = rated.min();
+        let idle = best.filter(|best| !best.0).map(|best| best.4);
+        if idle.is_some() || ids.is_empty() && best.is_some() {
+            return best.map(|best| best.4);
+        }
+        // Clients may hold a third of the sockets; the nodes share what is left.
+        let share = 2 * self.most_peers / 3 / self.scatter.nodes.iter().filter(|n| n.ready).count().max(1);
+        let new = if place.links.len() < share { self.open_link(node) } else { None };
+        new.or(best.map(|best| best.4)).or_else(|| self.open_link(node))
     }
 
     pub fn open_link(&mut self, node: Node) -> Option<Conn> {
@@ -339,7 +349,7 @@
     }
 
     pub fn send_probe(&mut self, node: Node) {
-        let Some(conn) = self.room_for(node, &[]).or_else(|| self.open_link(node)) else { return };
+        let Some(conn) = self.link_for(node, &[]) else { return };
         let at = self.now + self.scatter.connect;
         let link = self.link(conn);
         // No two are due at one time: an alarm stands for one probe.
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -69,7 +69,7 @@
     /// The planned end has begun; new connections no longer come.
     pub stopping: bool,
     pub closing: bool,
-    most_peers: usize,
+    pub most_peers: usize,
     timer: Option<Micros>,
 }
 
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -93,7 +93,7 @@
                 continue;
             }
             let ids: Vec<Rc<str>> = shots.iter().map(|s| self.gather.parts[s.0].id.clone()).collect();
-            match self.room_for(node, &ids).or_else(|| self.open_link(node)) {
+            match self.link_for(node, &ids) {
                 Some(conn) => {
                     for &(part, trial) in &shots {
                         self.gather.parts[part].shots[trial].link = Some(conn);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -510,9 +510,9 @@
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt and connections broken on the way, at all nodes alike: once makes
-            // for doubt, twice for a bar if it answered nothing between, and a fall is out of reach after it.
-            Outcome::Spoilt | Outcome::Broken if [0, now].contains(&node.struck) => return node.struck = now,
+            // Guards against answers spoilt and connections broken on the way, at all nodes alike: that makes for
+            // doubt, one call at a time until it answers; it fell if it can't be reached then.
+            Outcome::Spoilt | Outcome::Broken => return node.struck = now,
             // Guards against a late list: what could not be reached comes back cold, if at all.
             Outcome::Unreachable => node.up_since = now,
             _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
@@ -521,7 +521,7 @@
         if outcome == Outcome::Unreachable && node.record(grade).barred_until < node.struck {
             self.falls.push(now, 1.0);
         }
-        if !matches!(outcome, Outcome::Error | Outcome::Spoilt) {
+        if outcome != Outcome::Error {
             node.lags.push(now, lag.max(limit) as f64);
         }
         // One strike an episode: what fell together is one piece of evidence. Guards against nodes that leave
