--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -144,8 +144,8 @@
         }
     }
 
-    /// A connection for parts of these ids: an idle one, the longest idle first since its node may close it
-    /// right behind an answer, else a new one, else one with
+    /// A connection for parts of these ids: one idle for a tick at least, since its node may close it right
+    /// behind an answer, the longest idle first, else a new one, else one with
     /// room. Guards against what befalls a connection befalling all that is out on it: calls share one only
     /// where a node's share of the sockets is used up. Answers bear no number of a trial, so no part goes
     /// out twice on one connection.
@@ -165,12 +165,12 @@
                 && rests.is_none_or(|since| now - since < idle)
                 && link.load() + ids.len() <= most
                 && !ids.iter().any(known);
-            fits.then_some((rests.is_none(), rests, !link.up, link.load(), conn))
+            let class = rests.map_or(2, |since| (now - since < self.tick) as u8);
+            fits.then_some((class, rests, !link.up, link.load(), conn))
         });
         let best = rated.min();
-        let idle = best.filter(|best| !best.0).map(|best| best.4);
-        if idle.is_some() || ids.is_empty() && best.is_some() {
-            return best.map(|best| best.4);
+        if let Some(best) = best.filter(|best| best.0 == 0 || ids.is_empty()) {
+            return Some(best.4);
         }
         // Clients may hold a third of the sockets; the nodes share what is left.
         let share = 2 * self.most_peers / 3 / self.scatter.nodes.iter().filter(|n| n.ready).count().max(1);
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -65,7 +65,7 @@
     /// The module was told something and has not decided since; when it last did, and how often it may.
     pub unsettled: bool,
     settled: Micros,
-    tick: Micros,
+    pub tick: Micros,
     /// The planned end has begun; new connections no longer come.
     pub stopping: bool,
     pub closing: bool,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -397,10 +397,11 @@
     fn cold_room(&self, now: Micros, n: Node, parts: usize, grade: usize) -> bool {
         let node = &self.nodes[n];
         let (window, multiple, cold, warm_up) = self.site.tip;
-        if node.up_since == 0 || now - node.up_since >= warm_up {
+        let start = node.up_since.max(node.missed);
+        if start == 0 || now - start >= warm_up {
             return true;
         }
-        let age = (now - window - node.up_since).max(0) as f64;
+        let age = (now - window - start).max(0) as f64;
         let capacity = cold + (1.0 - cold) * age / warm_up as f64;
         let room = multiple * capacity * window as f64 / self.site.routers;
         let work = parts as f64 * self.part_work(grade) + self.site.call_work;
@@ -409,8 +410,8 @@
         }
         // Among many routers that is less than a call. What all send a warm node is no more than that can do,
         // so each may save up the part of its own average that the rule allows until it makes a call.
-        let since = node.sent.last().filter(|&at| at > node.up_since);
-        let saved = (now - since.unwrap_or(node.up_since)) as f64 * multiple * capacity * self.average;
+        let since = node.sent.last().filter(|&at| at > start);
+        let saved = (now - since.unwrap_or(start)) as f64 * multiple * capacity * self.average;
         saved >= work * since.map_or(node.lot, |_| 1.0)
     }
 
@@ -498,6 +499,7 @@
                 let record = node.record_mut(grade);
                 (record.strikes, record.last_ok) = (record.strikes / 2, now);
                 (node.fulls, node.full_until, node.heard, node.struck) = (0, now, now, 0);
+                node.missed *= (lag > usual) as Micros;
                 node.lags.push(now, lag as f64);
                 self.lags.push(now, lag as f64);
                 Samples::at(&mut self.zones, node.zone, 64).push(now, lag as f64);
@@ -513,8 +515,14 @@
             // Guards against answers spoilt and connections broken on the way, at all nodes alike: that makes for
             // doubt, one call at a time until it answers; it fell if it can't be reached then.
             Outcome::Spoilt | Outcome::Broken => return node.struck = now,
-            // Guards against a late list: what could not be reached comes back cold, if at all.
-            Outcome::Unreachable => node.up_since = now,
+            // Guards against a late list: what could not be reached comes back cold, if at all, until it answers
+            // as warm ones do. A single refusal at once is no more than doubt.
+            Outcome::Unreachable => {
+                node.missed = now;
+                if lag <= limit && [0, now].contains(&node.struck) {
+                    return node.struck = now;
+                }
+            }
             _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
             _ => {}
         }
@@ -614,21 +622,17 @@
 
     fn list_ends(&mut self, now: Micros, acts: &mut dyn Actions) {
         let Some(listing) = self.listing.take() else { return };
-        match listing {
-            Listing::Failed => {
-                self.subscribed = false;
-                self.ask_failures = (self.ask_failures + 1).min(3);
-                let wait = 500_000 << self.ask_failures;
-                self.ask_at = now + wait / 2 + self.rng.i64(0..wait);
-                acts.log(&format!("registry out of reach, asked again in {} ms", (self.ask_at - now) / 1000));
-            }
-            Listing::Changes | Listing::Whole => {
-                if !std::mem::replace(&mut self.subscribed, true) && self.ask_failures > 0 {
-                    acts.log("registry back");
-                }
-                self.ask_failures = 0;
+        if listing == Listing::Failed {
+            self.subscribed = false;
+            self.ask_failures = (self.ask_failures + 1).min(3);
+            let wait = 500_000 << self.ask_failures;
+            self.ask_at = now + wait / 2 + self.rng.i64(0..wait);
+            acts.log(&format!("registry out of reach, asked again in {} ms", (self.ask_at - now) / 1000));
+        } else if listing != Listing::Disk {
+            if !std::mem::replace(&mut self.subscribed, true) && self.ask_failures > 0 {
+                acts.log("registry back");
             }
-            Listing::Disk => {}
+            self.ask_failures = 0;
         }
         if matches!(listing, Listing::Whole | Listing::Disk) {
             self.nodes.iter_mut().for_each(|node| node.ready &= node.list == self.lists);
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,8 @@
     pub heard: Micros,
     /// When an answer of its was spoilt or a connection broke, 0 once it has answered since.
     pub struck: Micros,
+    /// When it could last not be reached, 0 once it has answered as a warm node does.
+    pub missed: Micros,
     /// Refusals as full since its last answer, and until when it is left alone for them.
     pub fulls: u32,
     pub full_until: Micros,
@@ -191,6 +193,7 @@
             records: Vec::new(),
             heard: Micros::MAX,
             struck: 0,
+            missed: 0,
             fulls: 0,
             full_until: 0,
         }
