A broken connection is doubt and not a fall; calls get connections of their own

Checked with a trace of the module's view of each node twice a second and of each connection's end: - healthy nodes stood barred or cold with nothing out while 40 to 100 retrievals waited; each connection that broke was taken for a fall (learn: Broken set up_since and barred), three of them sent first calls ahead; planning the waiting each tick took the CPU (0.20 of 0.20); - some seven parts were out on the one connection of a node, so each break took seven; - a connection that fell silent or stopped within a frame stayed in use, so its node looked sick for good; - a refused new connection made a warm node cold for its warm-up; two such holders of a shard held up everything; - seven of twelve nodes broke off a fifth of their shots, the others none: effectful parts need the latter. Ruled out: sockets (149 of 384), memory, connections closed right behind an answer (a peek before a call finds them; of those broken 83% had been up to 48 ms at work).

--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -198,7 +198,7 @@
             cut: Cut::No,
             probes: VecDeque::new(),
         };
-        let conn = self.open(Kind::Link(link))?;
+        let conn = self.open(Kind::Link(Box::new(link)))?;
         self.counters.links_opened += 1;
         self.scatter.nodes[node].links.push(conn);
         self.effects.push(Effect::Connect(conn, to));
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub enum Kind {
     Client(Client),
-    Link(Link),
+    Link(Box<Link>),
     Call(discovery::Call),
 }
 
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -306,6 +306,49 @@
     }
 }
 
+#[test]
+fn a_connection_that_fell_silent_is_not_used_again() {
+    let mut bench = Bench::new();
+    bench.ask("look", "t1");
+    let (link, port) = bench.up();
+    bench.answer(link, "t1.0 OK 5 -", "alpha");
+    // Its node's other answer is only half there; nothing more comes.
+    bench.tell(Event::Received(link, b"\0\0\0\x20Yt1.1 OK 5"));
+    bench.pass(249_000);
+    assert!(!bench.closed.contains(&link));
+    bench.pass(2_000);
+    assert!(bench.closed.contains(&link) && bench.router.desk.counters.shots_spoilt == 1);
+    // One that has said nothing since a shot that another overtook is worn.
+    let node = if port == 71 { 0 } else { 1 };
+    bench.ask("look", "t2");
+    let part = bench.router.desk.gather.parts.iter().find(|p| &*p.1.id == "t2.0").expect("a part").0;
+    let (silent, _) = bench.up();
+    bench.router.desk.gather.parts[part].value = Some("alpha".into());
+    bench.router.desk.give_up(part, 0, Outcome::Withdrawn);
+    bench.effects();
+    let ids = ["t3.0".into()];
+    let other = bench.router.desk.link_for(node, &ids);
+    assert!(other.is_some_and(|conn| conn != silent));
+}
+
+#[test]
+fn calls_share_a_connection_only_where_a_nodes_share_of_the_sockets_is_used_up() {
+    let mut bench = Bench::new();
+    bench.router.desk.most_peers = 9;
+    let ids: Vec<std::rc::Rc<str>> = vec!["t1.0".into()];
+    let links: Vec<Conn> = (0..4)
+        .map(|_| {
+            let conn = bench.router.desk.link_for(0, &ids).expect("a socket");
+            bench.effects();
+            bench.tell(Event::Up(conn));
+            bench.router.desk.link(conn).call(Vec::new());
+            conn
+        })
+        .collect();
+    // Nine sockets, of which nodes may have six, are three for each of two.
+    assert!(links[0] != links[1] && links[1] != links[2] && links[..3].contains(&links[3]));
+}
+
 #[test]
 fn what_comes_behind_a_good_answer_harms_no_one() {
     for behind in ["noise\r\n", "again", "other"] {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -163,7 +163,7 @@
     fn admit(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
         let (new, floor) = (held.admitted.is_none(), self.grades[held.grade].floor);
-        if new && held.again && self.fatal.iter().any(|f| f.0 > now - ALARM && f.1 == self.likeness(r)) {
+        if new && held.again && self.fatal.iter().any(|f| f.0 > now - ALARM && f.1 == self.book.likeness(r)) {
             return self.doom(r);
         }
         let mut unsent = held.parts[held.step..].to_vec();
@@ -206,19 +206,12 @@
         }
         if out == 0 && held.fallen.len() > 1 {
             self.fatal.retain(|f| f.0 > now - ALARM);
-            self.fatal.push((now, self.likeness(r)));
+            self.fatal.push((now, self.book.likeness(r)));
             return self.doom(r);
         }
         Step::Pass
     }
 
-    /// What a client's tries have in common.
-    fn likeness(&self, r: usize) -> [usize; 4] {
-        let held = self.book.held(r);
-        let first = held.parts.first().map_or(0, |&p| self.book.part(p).shard);
-        [held.grade, held.tenant, first, held.parts.len()]
-    }
-
     /// Further shots: another try for a part whose shots are over, a second copy for an overdue one.
     fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
@@ -249,8 +242,10 @@
                 continue;
             }
             let in_time = now + self.usual.map_or(0, |u| u[1]) < if copy { agreed } else { until };
-            let spent = part.shots.len() >= self.site.most_shots;
-            if spent || !in_time || !self.may_run_again(now, p, grade, copy) {
+            if part.shots.len() >= self.site.most_shots
+                || !in_time
+                || !self.may_run_again(now, p, grade, copy)
+            {
                 self.book.part_mut(p).lost = !copy;
                 lost |= !copy;
                 continue;
@@ -324,10 +319,12 @@
             return 0;
         }
         let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade, n));
-        // An effectful part gets no other shot, so its first choice must be proven.
-        let effectful = self.grades[grade].effect == Effect::Effectful;
-        let doubt = node.in_doubt(grade) && (!node.out.is_empty() || effectful);
-        if overdue || doubt { OPEN } else { SOUND }
+        // An effectful part gets no other shot, so its first choice must be proven, and break off less than a
+        // tenth of what it begins.
+        let doubt = node.in_doubt(grade);
+        let proven = !doubt && node.lost(now - RECENT) < 0.1;
+        let wanting = !proven && self.grades[grade].effect == Effect::Effectful;
+        if overdue || wanting || doubt && !node.out.is_empty() { OPEN } else { SOUND }
     }
 
     /// How many parts more a node may hold of this router's.
@@ -493,7 +490,12 @@
         let usual = self.usual.map_or(limit / 8, |u| u[1]);
         let slow_way = self.way(n) > usual;
         let node = &mut self.nodes[n];
-        let silent = matches!(outcome, Outcome::Withdrawn | Outcome::Overdue);
+        let (silent, late) = (matches!(outcome, Outcome::Withdrawn | Outcome::Overdue), lag > limit);
+        if !outcome.never_ran() && (!silent || late) {
+            node.fates.push(now, (outcome != Outcome::Ok) as u8 as f64);
+        }
+        // Guards against a late list: what is out of reach comes back cold, until it answers as warm ones do.
+        node.missed = if outcome == Outcome::Unreachable { now } else { node.missed };
         match outcome {
             Outcome::Ok => {
                 let record = node.record_mut(grade);
@@ -512,18 +514,11 @@
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt and connections broken on the way, at all nodes alike: that makes for
-            // doubt, one call at a time until it answers; it fell if it can't be reached then.
+            // Guards against answers spoilt and connections broken on the way, at any node: that makes for
+            // doubt, one call at a time until it answers. It fell if it can't be reached then.
             Outcome::Spoilt | Outcome::Broken => return node.struck = now,
-            // Guards against a late list: what could not be reached comes back cold, if at all, until it answers
-            // as warm ones do. A single refusal at once is no more than doubt.
-            Outcome::Unreachable => {
-                node.missed = now;
-                if lag <= limit && [0, now].contains(&node.struck) {
-                    return node.struck = now;
-                }
-            }
-            _ if outcome == Outcome::Unsent || silent && lag <= limit => return,
+            Outcome::Unreachable if !late && [0, now].contains(&node.struck) => return node.struck = now,
+            _ if outcome == Outcome::Unsent || silent && !late => return,
             _ => {}
         }
         if outcome == Outcome::Unreachable && node.record(grade).barred_until < node.struck {
@@ -634,9 +629,8 @@
             }
             self.ask_failures = 0;
         }
-        if matches!(listing, Listing::Whole | Listing::Disk) {
-            self.nodes.iter_mut().for_each(|node| node.ready &= node.list == self.lists);
-        }
+        let some = matches!(listing, Listing::Changes | Listing::Failed);
+        self.nodes.iter_mut().for_each(|node| node.ready &= some || node.list == self.lists);
         self.shards.arrange(&self.nodes);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,6 +158,8 @@
     pub out: Vec<Shot>,
     /// Lags of shots that ended in an answer, or lower bounds from those given up.
     pub lags: Samples,
+    /// What became of shots that it began: 0 for an answer, 1 for none or one of no use.
+    pub fates: Samples,
     /// Work sent, for the cold allowance.
     pub sent: Samples,
     /// What it did of late for each service grade.
@@ -189,6 +191,7 @@
             filled: false,
             out: Vec::new(),
             lags: Samples::new(few),
+            fates: Samples::new(4 * few),
             sent: Samples::new(many),
             records: Vec::new(),
             heard: Micros::MAX,
@@ -208,6 +211,11 @@
         self.struck > 0 || self.record(grade).strikes > 0
     }
 
+    /// The share of the shots since `from` that it began and did not answer.
+    pub fn lost(&self, from: Micros) -> f64 {
+        self.fates.sum(from) / self.fates.count(from).max(1) as f64
+    }
+
     pub fn record_mut(&mut self, grade: usize) -> &mut Record {
         if self.records.len() <= grade {
             self.records.resize(grade + 1, Record::default());
@@ -220,6 +228,7 @@
         self.up_since = up_since;
         self.records.clear();
         self.lags.clear();
+        self.fates.clear();
         self.struck = 0;
     }
 
@@ -370,6 +379,13 @@
         self.parts[part] = Some(held);
     }
 
+    /// What a client's tries have in common.
+    pub fn likeness(&self, retrieval: usize) -> [usize; 4] {
+        let held = self.held(retrieval);
+        let first = held.parts.first().map_or(0, |&p| self.part(p).shard);
+        [held.grade, held.tenant, first, held.parts.len()]
+    }
+
     /// Of some parts: the weight answered and the weight that can still be, whether one is waited for, and
     /// whether all are answered.
     pub fn tally(&self, parts: &[usize]) -> (f64, f64, bool, bool) {
