--- a/src/balance.rs
+++ b/src/balance.rs
@@ -515,9 +515,8 @@
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
             // Guards against answers spoilt and connections broken on the way, at any node: that makes for
-            // doubt, one call at a time until it answers. It fell if it can't be reached then.
+            // doubt, one call at a time until it answers. Out of reach then, it fell.
             Outcome::Spoilt | Outcome::Broken => return node.struck = now,
-            Outcome::Unreachable if !late && [0, now].contains(&node.struck) => return node.struck = now,
             _ if outcome == Outcome::Unsent || silent && !late => return,
             _ => {}
         }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -353,10 +353,11 @@
     assert!(router.cold_room(NOW, 0, 1, 0));
     router.learn(NOW, 0, 0, Outcome::Unreachable, 5);
     assert!(!router.cold_room(NOW, 0, 1, 0));
-    // One refusal is no more than doubt, and it is warm once it answers as warm nodes do.
-    assert_eq!(router.nodes[0].record(0).barred_until, 0);
-    router.learn(NOW + 1, 0, 0, Outcome::Unreachable, 5);
-    assert!(router.nodes[0].record(0).barred_until > NOW && router.falls.count(0) == 1);
+    // Out of reach after its connection broke, it fell; it is warm once it answers as warm nodes do.
+    assert!(router.nodes[0].record(0).barred_until > NOW && router.falls.count(0) == 0);
+    router.learn(NOW + 1, 1, 0, Outcome::Broken, 5);
+    router.learn(NOW + 2, 1, 0, Outcome::Unreachable, 5);
+    assert_eq!(router.falls.count(0), 1);
     router.learn(NOW + 2, 0, 0, Outcome::Ok, 500_000);
     assert!(!router.cold_room(NOW + 2, 0, 1, 0));
     router.learn(NOW + 3, 0, 0, Outcome::Ok, 50_000);
