Idle clients keep at most half of the third of the sockets that clients may hold

Checked: counts of peers by state twice a second. From 2.5 s on clients ask once and stay; once 128 of 384 descriptors rest with them (a third), requests no longer come. Ruled out: the queue of the listener (0 of 128), lateness, nodes (p99 55 ms). At fault: answer_flushed in clients.rs kept every idle client until all sockets were used.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -145,6 +145,22 @@
         (client.hand, client.since, client.loose) = (Hand::Empty, now, true);
         self.wake_at(conn, None);
         self.effects.push(Effect::Read(conn));
+        self.thin_out();
+    }
+
+    /// Guards against clients that ask once and stay: clients may hold a third of the sockets for requests, and
+    /// of that at most half may rest, so that others find room. The longest idle goes first.
+    fn thin_out(&mut self) {
+        let idle = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
+            Kind::Client(client) => client.idle_since().map(|since| (since, conn)),
+            _ => None,
+        });
+        let idle: Vec<(Micros, Conn)> = idle.collect();
+        if idle.len() > (self.most_peers / 6).max(1)
+            && let Some(&(_, conn)) = idle.iter().min()
+        {
+            self.part_with(conn);
+        }
     }
 
     /// Writes an answer; the client has as long to read it as it may wait for one.
