--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -7,6 +7,8 @@
 use crate::reducer::{Desk, Kind, Peer, Router};
 use yewpier::{Events, Micros};
 
+/// How long a new connection is left in peace without a request, as the operators state it.
+const SILENT: Micros = 2_000_000;
 /// How long a connection that was closed gently is still read.
 const LINGER: Micros = 1_000_000;
 
@@ -83,8 +85,9 @@
             let Some(conn) = self.open(Kind::Client(client)) else { return };
             self.clients.held_back -= 1;
             self.effects.push(Effect::Adopt(conn));
-            let wait = if self.closing { LINGER } else { self.clients.longest };
+            let wait = if self.closing { LINGER } else { SILENT };
             self.wake_at(conn, Some(self.now + wait));
+            self.thin_out();
         }
     }
 
@@ -127,7 +130,10 @@
                 self.say(conn, 408, "the request took too long to come");
             }
             Hand::Empty if self.closing => self.leave(conn),
-            Hand::Empty => self.client(conn).loose = true,
+            Hand::Empty => {
+                self.client(conn).loose = true;
+                self.thin_out();
+            }
             Hand::Parting | Hand::Retrieval(_) => {}
             Hand::Answer | Hand::Leaving => self.close(conn),
         }
@@ -148,18 +154,19 @@
         self.thin_out();
     }
 
-    /// Guards against clients that ask once and stay: clients may hold a third of the sockets for requests, and
-    /// of that at most half may rest, so that others find room. The longest idle goes first.
+    /// Guards against clients that ask once and stay, or never ask: clients may hold a third of the sockets for
+    /// requests, and of that at most half may have none, so that others find room. The longest idle go first.
     fn thin_out(&mut self) {
-        let idle = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
-            Kind::Client(client) => client.idle_since().map(|since| (since, conn)),
+        let resting = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
+            Kind::Client(client) if client.hand == Hand::Empty => Some((client.idle_since(), conn)),
             _ => None,
         });
-        let idle: Vec<(Micros, Conn)> = idle.collect();
-        if idle.len() > (self.most_peers / 6).max(1)
-            && let Some(&(_, conn)) = idle.iter().min()
-        {
-            self.part_with(conn);
+        let resting: Vec<(Option<Micros>, Conn)> = resting.collect();
+        let beyond = resting.len().saturating_sub((self.most_peers / 6).max(1));
+        if beyond > 0 {
+            let mut idle: Vec<(Micros, Conn)> = resting.iter().filter_map(|r| Some((r.0?, r.1))).collect();
+            idle.sort_unstable();
+            idle.into_iter().take(beyond).for_each(|(_, conn)| self.part_with(conn));
         }
     }
 
