--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -463,13 +463,35 @@
 fn a_request_that_was_not_read_yet_keeps_its_connection() {
     let mut bench = Bench::new();
     let clients: Vec<Conn> = (0..5).map(|_| bench.client()).collect();
-    bench.tell(Event::Received(clients[1], b"GET /-/ready HTTP/1.1\r\n\r\n"));
     bench.unread = vec![clients[1]];
+    bench.tell(Event::Received(clients[1], b"GET /-/ready HTTP/1.1\r\n\r\n"));
     bench.tell(Event::Arrived);
     bench.tell(Event::Received(clients[1], b"GET /-/ready HTTP/1.1\r\n\r\n"));
     assert!(bench.closed.is_empty() && bench.said(clients[1]).matches("200 OK").count() == 2);
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_or_never_ask_leave_room_for_others() {
+    let mut bench = Bench::new();
+    bench.router.desk.most_peers = 24;
+    // A sixth of the sockets may rest with clients that ask nothing.
+    let asked: Vec<Conn> = (0..6)
+        .map(|_| {
+            let conn = bench.client();
+            bench.tell(Event::Received(conn, b"GET /-/ready HTTP/1.1\r\n\r\n"));
+            bench.now += 1;
+            conn
+        })
+        .collect();
+    assert_eq!(bench.closed, asked[..2]);
+    // New ones are about to ask; those that have asked before make room for them.
+    let silent: Vec<Conn> = (0..6).map(|_| bench.client()).collect();
+    assert_eq!(bench.closed.len(), 6);
+    assert!(!silent.iter().any(|conn| bench.closed[6..].contains(conn)));
+    bench.pass(2_100_000);
+    assert_eq!((bench.closed.len(), bench.router.desk.clients_open()), (8, 4));
+}
+
 #[test]
 fn a_call_without_a_socket_waits_and_says_nothing_of_its_node() {
     let mut bench = Bench::new();
