Nodes that are gone are forgotten and their indices given back, in module and fronts

One word in the interface, release: the module says it once a node is gone and no shot and no held part or retrieval refers to it; the router frees the index with the last connection. A node that drains is kept, since that must still be obeyed.

--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -31,7 +31,7 @@
     watch: Option<Conn>,
     /// The module is to ask for the list; else the router watches all the time.
     asked: bool,
-    nodes: Ids<String>,
+    pub nodes: Ids<String>,
     zones: Vec<String>,
     lists: u64,
     /// Calls that failed for want of a socket, which the module has not heard of yet.
@@ -272,6 +272,7 @@
             let place = &mut places[node];
             place.at = text("host_port").parse().ok();
             (place.ready, place.up_since, place.list) = (phase == Phase::Ready, up_since, number);
+            place.released = false;
             let size = member["size"].as_f64().unwrap_or(1.0);
             self.balance.listed(now, node, zone, cell as usize, phase, size, up_since);
         }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -3,6 +3,7 @@
 use crate::effects::{Conn, Effect, Piece};
 use crate::frames::{self, Read};
 use crate::reducer::{Alarm, Desk, Kind, Router};
+use crate::scatter::Place;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -296,10 +297,23 @@
 
     /// Closes a connection on which nothing is out.
     pub fn close_link(&mut self, conn: Conn) {
+        self.counters.links_closed_idle += 1;
+        self.drop_link(conn);
+    }
+
+    /// Forgets a connection, and its node's index with the last one if the module has no use for it any more.
+    fn drop_link(&mut self, conn: Conn) {
         let node = self.link(conn).node;
         self.scatter.nodes[node].links.retain(|&c| c != conn);
-        self.counters.links_closed_idle += 1;
         self.close(conn);
+        self.drop_node(node);
+    }
+
+    pub fn drop_node(&mut self, node: Node) {
+        if self.scatter.nodes[node].released && self.scatter.nodes[node].links.is_empty() {
+            self.scatter.nodes[node] = Place::default();
+            self.discovery.nodes.release(node);
+        }
     }
 
     pub fn close_idle_links(&mut self, node: Node) {
@@ -465,7 +479,7 @@
     /// A connection is gone. What was not written whole never ran; of the rest nothing is known.
     pub fn link_ended(&mut self, conn: Conn, written: u64) {
         let link = self.desk.link(conn);
-        let (node, up, cut) = (link.node, link.up, link.cut);
+        let (up, cut) = (link.up, link.cut);
         let queued: Vec<ShotId> = link.queued().collect();
         let out = std::mem::take(&mut link.out);
         // One that was up and ends before a frame is written says nothing of whether its node can be reached.
@@ -476,7 +490,6 @@
         while !self.desk.link(conn).probes.is_empty() {
             self.probe_ended(conn, if up { Outcome::Broken } else { Outcome::Unreachable }, &[]);
         }
-        self.desk.scatter.nodes[node].links.retain(|&c| c != conn);
         for Out { part, trial, end, .. } in out {
             let outcome = match (cut, end <= written) {
                 (Cut::No, true) => Outcome::Broken,
@@ -489,6 +502,6 @@
         for (part, trial) in queued {
             self.shot_ended(part, trial, unsent, &[]);
         }
-        self.desk.close(conn);
+        self.desk.drop_link(conn);
     }
 }
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -283,6 +283,11 @@
     fn forget(&mut self, retrieval: usize) {
         self.drop_retrieval(retrieval);
     }
+    fn release(&mut self, node: Node) {
+        self.scatter.nodes[node].released = true;
+        self.close_idle_links(node);
+        self.drop_node(node);
+    }
     fn set_timer(&mut self, wait: Micros, token: u64) {
         self.timers.insert((self.now + wait, Alarm::Module(token)));
     }
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -635,6 +635,37 @@
     assert_eq!((bench.router.desk.counters.shots_broken, bench.closed.contains(&other)), (2, true));
 }
 
+#[test]
+fn nodes_that_come_and_go_leave_nothing_behind() {
+    let mut bench = Bench::new();
+    let member = |i: usize, phase: &str| serde_json::json!({"id": format!("n{i}"), "host_port": "127.0.0.1:73", "cell": 0, "phase": phase});
+    for i in 0..2_000 {
+        // It goes while its parts are out, and they are answered afterwards.
+        let ids = ["a", "b"].map(|id| serde_json::json!({"id": id, "cell": 0, "phase": "gone"}));
+        let members = [vec![member(i, "ready")], ids.to_vec()].concat();
+        bench.router.list(&serde_json::json!({"revision": 42 + i, "members": members}), Listing::Changes);
+        bench.settle();
+        let client = bench.ask("look", &format!("t{i}"));
+        let (link, _) = bench.up();
+        let gone = serde_json::json!({"revision": 42 + i, "members": [member(i, "gone")]});
+        bench.router.list(&gone, Listing::Changes);
+        bench.settle();
+        bench.answer(link, &format!("t{i}.0 OK 5 -"), "alpha");
+        bench.answer(link, &format!("t{i}.1 OK 5 -"), "beta");
+        bench.settle();
+        assert!(bench.said(client).starts_with("HTTP/1.1 200"), "{i}: {}", bench.said(client));
+        bench.tell(Event::Ended(client, 0));
+        bench.written.clear();
+    }
+    let desk = &bench.router.desk;
+    assert!(
+        desk.scatter.nodes.len() <= 4 && desk.discovery.nodes.count() <= 1,
+        "{}",
+        desk.scatter.nodes.len()
+    );
+    assert_eq!((desk.gather.parts.len(), desk.gather.retrievals.len(), desk.peers.len()), (0, 0, 1));
+}
+
 #[test]
 fn a_node_that_moves_gets_new_connections_at_its_new_address() {
     let mut bench = Bench::new();
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -19,6 +19,8 @@
     pub up_since: Micros,
     /// The number of the last list that named it.
     pub list: u64,
+    /// The module has forgotten it: its index is free once no connection is left.
+    pub released: bool,
     /// One of its frames could not be used.
     pub garbled: bool,
     pub links: Vec<Conn>,
--- a/crates/terms/src/ids.rs
+++ b/crates/terms/src/ids.rs
@@ -44,6 +44,11 @@
         self.keys.get(index)?.as_ref()
     }
 
+    /// How many ids are held.
+    pub fn count(&self) -> usize {
+        self.index.len()
+    }
+
     /// Gives the index back; what it stood for is no longer held.
     pub fn release(&mut self, index: usize) {
         if let Some(key) = self.keys.get_mut(index).and_then(Option::take) {
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -29,6 +29,7 @@
     ops: &'a Ids<u64>,
     nodes: &'a Ids<String>,
     over: Vec<usize>,
+    left: Vec<Node>,
     out: &'a mut Vec<u8>,
 }
 
@@ -72,6 +73,9 @@
     fn forget(&mut self, retrieval: usize) {
         self.over.push(retrieval);
     }
+    fn release(&mut self, node: Node) {
+        self.left.push(node);
+    }
     fn set_timer(&mut self, wait: Micros, token: u64) {
         self.line("NOTIFY_ME", format_args!("\twaitNs={}\tcookie={token}", wait * 1000));
     }
@@ -101,9 +105,11 @@
 macro_rules! with_reply {
     ($self:ident, $out:expr, $call:ident($($arg:expr),*)) => {{
         let (ops, nodes) = (&$self.ops, &$self.nodes);
-        let mut reply = Reply { name: &$self.name, ops, nodes, over: Vec::new(), out: $out };
+        let (over, left) = (Vec::new(), Vec::new());
+        let mut reply = Reply { name: &$self.name, ops, nodes, over, left, out: $out };
         $self.router.$call($($arg,)* &mut reply);
-        let over = reply.over;
+        let (over, left) = (reply.over, reply.left);
+        left.into_iter().for_each(|node| $self.nodes.release(node));
         over.into_iter().for_each(|retrieval| $self.release(retrieval));
     }};
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -604,7 +604,7 @@
             self.nodes.resize_with(n + 1, || NodeState::new(BOUND, rng.f64(), 16, 1 << 10));
         }
         let node = &mut self.nodes[n];
-        (node.zone, node.cell, node.ready, node.list) = (zone, cell, phase == Phase::Ready, self.lists);
+        node.named(zone, cell, phase, self.lists);
         if up_since > node.up_since {
             // A fresh start: what was held against the old process is void.
             node.starts(up_since);
@@ -628,8 +628,8 @@
             }
             self.ask_failures = 0;
         }
-        let some = matches!(listing, Listing::Changes | Listing::Failed);
-        self.nodes.iter_mut().for_each(|node| node.ready &= some || node.list == self.lists);
+        let whole = matches!(listing, Listing::Whole | Listing::Disk);
+        self.nodes.iter_mut().filter(|node| whole && node.list != self.lists).for_each(NodeState::leaves);
         self.shards.arrange(&self.nodes);
     }
 
@@ -719,6 +719,7 @@
             }
         }
         self.book.sweep(&mut self.ended).into_iter().for_each(|r| acts.forget(r));
+        self.book.unknown(&mut self.nodes, BOUND).for_each(|n| acts.release(n));
         self.wake(now, acts);
     }
 }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -16,6 +16,9 @@
     fn finish(&mut self, retrieval: usize, end: End) {
         self.0.push(format!("{retrieval} {end:?}"));
     }
+    fn release(&mut self, node: Node) {
+        self.0.push(format!("release {node}"));
+    }
     fn subscribe(&mut self, on: bool) {
         self.0.push(format!("subscribe {on}"));
     }
@@ -448,3 +451,26 @@
     assert_eq!(router.state(NOW + 13, 0, 0), OPEN);
     assert_eq!(router.state(NOW + 13 + RECENT, 0, 0), SOUND, "it is forgiven in time");
 }
+
+#[test]
+fn a_node_that_is_gone_is_forgotten_once_nothing_refers_to_it() {
+    for listing in [Listing::Changes, Listing::Whole] {
+        let mut router = router("pure", &[]);
+        ask(&mut router, 10, 1);
+        assert_eq!(settle(&mut router, NOW), ["send 11 0"]);
+        router.nodes[0].record_mut(0).strikes = 3;
+        let rows = [(0, Phase::Gone, 0), (1, Phase::Ready, 0)];
+        let rows = if listing == Listing::Whole { &rows[1..] } else { &rows[..] };
+        list(&mut router, listing, rows);
+        assert!(settle(&mut router, NOW + 1).is_empty());
+        router.outcome(NOW + 2, 11, 0, 0, Outcome::Ok, 2, &[]);
+        assert_eq!(settle(&mut router, NOW + 2), ["10 Whole", "release 0"]);
+        list(&mut router, Listing::Changes, &[(0, Phase::Ready, 0)]);
+        assert_eq!(router.state(NOW + 3, 0, 0), SOUND, "its index starts clean");
+        assert!(settle(&mut router, NOW + 3).is_empty());
+    }
+    // One that drains is not gone: what it was told must still be obeyed.
+    let mut router = router("pure", &[]);
+    list(&mut router, Listing::Changes, &[(0, Phase::Draining, 0)]);
+    assert!(settle(&mut router, NOW).is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -150,6 +150,8 @@
     fn finish(&mut self, retrieval: usize, end: End);
     /// No shot of the retrieval is out and it has ended: its indices are free.
     fn forget(&mut self, retrieval: usize) {}
+    /// The node is gone and nothing refers to it: its index is free, and what was seen of it is forgotten.
+    fn release(&mut self, node: Node) {}
     fn set_timer(&mut self, wait: Micros, token: u64) {}
     fn probe(&mut self, node: Node) {}
     fn let_go(&mut self, node: Node) {}
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -6,7 +6,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Samples {
-    most: usize,
+    pub most: usize,
     items: VecDeque<(Micros, f64)>,
     /// The last quantile worked out and what it was asked for: many ask for the same at one instant.
     last: Cell<Option<(f64, Micros, Option<f64>)>>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a router holds of its nodes, retrievals and parts. Mechanics only: no decision is taken here.
 
 use crate::samples::Samples;
-use crate::{Micros, Node, Outcome, Settings};
+use crate::{Micros, Node, Outcome, Phase, Settings};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,8 +140,9 @@
     pub lot: f64,
     /// Named as ready by the newest list.
     pub ready: bool,
-    /// The number of the last list that named it.
+    /// The number of the last list that named it, and whether it is gone from there.
     pub list: u64,
+    pub gone: bool,
     pub zone: usize,
     pub cell: usize,
     /// Its latest start that is known or was seen, 0 for long ago.
@@ -181,6 +182,7 @@
             ready: false,
             lot,
             list: 0,
+            gone: false,
             zone: 0,
             cell: 0,
             up_since: 0,
@@ -223,6 +225,17 @@
         &mut self.records[grade]
     }
 
+    /// What a list says of it.
+    pub fn named(&mut self, zone: usize, cell: usize, phase: Phase, list: u64) {
+        (self.zone, self.cell, self.list) = (zone, cell, list);
+        (self.ready, self.gone) = (phase == Phase::Ready, phase == Phase::Gone);
+    }
+
+    /// A whole list does not name it.
+    pub fn leaves(&mut self) {
+        (self.ready, self.gone) = (false, self.list > 0);
+    }
+
     /// Forgets what was seen of the process before.
     pub fn starts(&mut self, up_since: Micros) {
         self.up_since = up_since;
@@ -379,6 +392,23 @@
         self.parts[part] = Some(held);
     }
 
+    /// The nodes that are gone and that no shot and no held part or retrieval refers to; each starts clean,
+    /// should it come back or its index become another's.
+    pub fn unknown(&self, nodes: &mut [NodeState], bound: f64) -> impl Iterator<Item = Node> {
+        nodes.iter_mut().enumerate().filter_map(move |(n, node)| {
+            let sent = |part: &Part| part.shots.contains(&n);
+            let fell = |held: &Retrieval| held.fallen.contains(&n);
+            let free = node.gone
+                && node.out.is_empty()
+                && !self.parts.iter().flatten().any(sent)
+                && !self.retrievals.iter().flatten().any(fell);
+            free.then(|| {
+                *node = NodeState::new(bound, node.lot, node.lags.most, node.sent.most);
+                n
+            })
+        })
+    }
+
     /// What a client's tries have in common.
     pub fn likeness(&self, retrieval: usize) -> [usize; 4] {
         let held = self.held(retrieval);
