--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -94,7 +94,7 @@
         } else {
             continue;
         };
-        if found.is_some_and(|f| f != next) {
+        if found.is_some() {
             return Err((400, "the body's length is stated twice"));
         }
         found = Some(next);
@@ -243,6 +243,7 @@
         for (rest, status) in [
             ("Content-Length: -1\r\n\r\n".to_string(), 400),
             ("Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello".to_string(), 400),
+            ("Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello".to_string(), 400),
             ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n".to_string(), 400),
             ("Transfer-Encoding: gzip\r\n\r\n".to_string(), 501),
             ("Transfer-Encoding: chunked\r\n\r\nzz\r\n".to_string(), 400),
--- a/crates/router/src/query.rs
+++ b/crates/router/src/query.rs
@@ -7,6 +7,9 @@
 /// One part of a query: its shard, its share of the answer, and a rough figure for its work.
 pub type Segment = (usize, f64, Micros);
 
+/// How far the shares of an answer may be from adding up to 1.
+const ROUNDING: f64 = 0.01;
+
 /// What a query asks for, as indices and figures.
 #[derive(Debug, PartialEq)]
 pub struct Query {
@@ -35,7 +38,8 @@
         let grade = known(&self.grades, request.grade).ok_or("X-Qos names no known service grade")?;
         let tenant = if self.tenants.is_empty() { Some(0) } else { known(&self.tenants, request.tenant) };
         let tenant = tenant.ok_or("X-Customer names no known customer")?;
-        let patience: Option<u32> = request.patience.parse().ok().filter(|&ms| ms > 0);
+        let digits = request.patience.bytes().all(|b| b.is_ascii_digit());
+        let patience: Option<u32> = request.patience.parse().ok().filter(|&ms| ms > 0 && digits);
         let patience = patience.ok_or("X-Expires-In-Ms is missing or not a positive whole number")?;
         let json: Json = serde_json::from_slice(&request.body).map_err(|_| "the body is not JSON")?;
         let list = json["segments"].as_array().filter(|list| !list.is_empty());
@@ -46,7 +50,7 @@
             if segments.iter().any(|s| s.0 == shard) {
                 return Err("a segment is named twice");
             }
-            let boost = segment["boost"].as_f64().filter(|b| *b >= 0.0);
+            let boost = segment["boost"].as_f64().filter(|b| (0.0..=1.0).contains(b));
             let boost = boost.ok_or("a segment's boost is missing or not a share")?;
             let work = match &segment["work"] {
                 Json::Null => 0,
@@ -56,6 +60,10 @@
             };
             segments.push((shard, boost, work));
         }
+        let shares: f64 = segments.iter().map(|segment| segment.1).sum();
+        if (shares - 1.0).abs() > ROUNDING {
+            return Err("the segments' boosts do not add up to 1");
+        }
         let text = json["text"].as_str().ok_or("text is missing or not a text")?.to_string();
         Ok(Query { grade, tenant, patience: Micros::from(patience) * 1000, segments, text })
     }
@@ -91,6 +99,10 @@
             ("9", body(""), "segments"),
             ("9", body(r#"{"segment":4,"boost":1}"#), "shard"),
             ("9", body(r#"{"segment":1,"boost":-1}"#), "boost"),
+            ("9", body(r#"{"segment":1,"boost":1.1}"#), "boost"),
+            ("9", body(r#"{"segment":1,"boost":0.5},{"segment":2,"boost":0.4}"#), "add up"),
+            ("9", body(r#"{"segment":0,"boost":1},{"segment":2,"boost":1}"#), "add up"),
+            ("+9", body(r#"{"segment":1,"boost":1}"#), "X-Expires-In-Ms"),
             ("9", body(r#"{"segment":1,"boost":1},{"segment":1,"boost":1}"#), "twice"),
             ("9", body(r#"{"segment":1,"boost":1,"work":"x"}"#), "work"),
             ("9", r#"{"segments":[{"segment":1,"boost":1}]}"#.to_string(), "text"),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -18,6 +18,8 @@
 
 /// An empty buffer above this is given back.
 const KEPT_INPUT: usize = 4096;
+/// How often one connection is read from before it is others' turn.
+const MOST_READS: usize = 4;
 /// How many pieces go out with one gathered write.
 const MOST_PIECES: usize = 64;
 /// How long to leave the listener alone when accepting fails.
@@ -377,7 +379,11 @@
 
     /// Reads until nothing is left or the buffer is full, and tells what came.
     fn read(&mut self, conn: Conn) {
-        loop {
+        for turn in 0.. {
+            // Guards against one that sends at full speed keeping all others waiting.
+            if turn == MOST_READS {
+                return self.ready.push((conn, Readiness { readable: true, writable: false, error: false }));
+            }
             let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
             socket.full = socket.input.len() >= MOST_REQUEST;
             if socket.full {
