--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::effects::{Conn, Effect};
 use crate::http::{self, Request};
 use crate::query::Terms;
-use crate::reducer::{Desk, Kind, Peer, Router};
+use crate::reducer::{Desk, Kind, Router};
 use yewpier::{Events, Micros};
 
 /// How long a new connection is left in peace without a request, as the operators state it.
@@ -98,6 +98,14 @@
         }
     }
 
+    /// The clients without a request in hand.
+    fn resting(&self) -> impl Iterator<Item = (Conn, &Client)> {
+        self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
+            Kind::Client(client) if client.hand == Hand::Empty => Some((conn, client)),
+            _ => None,
+        })
+    }
+
     /// Turns an idle client loose. Guards against a request that has come in and was not read yet.
     pub fn part_with(&mut self, conn: Conn) {
         self.counters.clients_turned_loose += 1;
@@ -114,11 +122,7 @@
 
     pub fn close_idle_clients(&mut self) {
         self.closing = true;
-        let idle = |(conn, peer): (Conn, &Peer)| match &peer.kind {
-            Kind::Client(client) if client.hand == Hand::Empty => Some(conn),
-            _ => None,
-        };
-        let idle: Vec<Conn> = self.peers.iter().filter_map(idle).collect();
+        let idle: Vec<Conn> = self.resting().map(|(conn, _)| conn).collect();
         idle.into_iter().for_each(|conn| self.leave(conn));
     }
 
@@ -157,14 +161,10 @@
     /// Guards against clients that ask once and stay, or never ask: clients may hold a third of the sockets for
     /// requests, and of that at most half may have none, so that others find room. The longest idle go first.
     fn thin_out(&mut self) {
-        let resting = self.peers.iter().filter_map(|(conn, peer)| match &peer.kind {
-            Kind::Client(client) if client.hand == Hand::Empty => Some((client.idle_since(), conn)),
-            _ => None,
-        });
-        let resting: Vec<(Option<Micros>, Conn)> = resting.collect();
-        let beyond = resting.len().saturating_sub((self.most_peers / 6).max(1));
+        let beyond = self.resting().count().saturating_sub((self.most_peers / 6).max(1));
         if beyond > 0 {
-            let mut idle: Vec<(Micros, Conn)> = resting.iter().filter_map(|r| Some((r.0?, r.1))).collect();
+            let idle = self.resting().filter_map(|(conn, client)| Some((client.idle_since()?, conn)));
+            let mut idle: Vec<(Micros, Conn)> = idle.collect();
             idle.sort_unstable();
             idle.into_iter().take(beyond).for_each(|(_, conn)| self.part_with(conn));
         }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -146,10 +146,9 @@
     }
 
     /// A connection for parts of these ids: one idle for a tick at least, since its node may close it right
-    /// behind an answer, the longest idle first, else a new one, else one with
-    /// room. Guards against what befalls a connection befalling all that is out on it: calls share one only
-    /// where a node's share of the sockets is used up. Answers bear no number of a trial, so no part goes
-    /// out twice on one connection.
+    /// behind an answer, the longest idle first, else a new one, else one with room. Guards against what
+    /// befalls a connection befalling all that is out on it: calls share one only where a node's share of
+    /// the sockets is used up. Answers bear no number of a trial, so no part goes out twice on one connection.
     pub fn link_for(&mut self, node: Node, ids: &[Rc<str>]) -> Option<Conn> {
         let (most, idle, now) = (self.scatter.most_parts, self.scatter.idle, self.now);
         let place = &self.scatter.nodes[node];
@@ -175,8 +174,9 @@
         }
         // Clients may hold a third of the sockets; the nodes share what is left.
         let share = 2 * self.most_peers / 3 / self.scatter.nodes.iter().filter(|n| n.ready).count().max(1);
-        let new = if place.links.len() < share { self.open_link(node) } else { None };
-        new.or(best.map(|best| best.4)).or_else(|| self.open_link(node))
+        let shared = best.map(|best| best.4);
+        let used_up = place.links.len() >= share;
+        if used_up && shared.is_some() { shared } else { self.open_link(node).or(shared) }
     }
 
     pub fn open_link(&mut self, node: Node) -> Option<Conn> {
@@ -422,9 +422,9 @@
                     let left = link.stale.iter().position(|known| **known == *id);
                     link.worn |= left.and_then(|at| link.stale.remove(at)).is_none();
                     // An id that is no one's here, or a second copy of the last answer.
-                    let known = !link.worn || link.answered.as_deref() == Some(id);
+                    let usable = !link.worn || link.answered.as_deref() == Some(id);
                     self.desk.counters.answers_late += 1;
-                    return known;
+                    return usable;
                 };
                 let Out { id, part, trial, .. } = link.out.remove(at);
                 link.answered = Some(id);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -246,11 +246,10 @@
             match self.after.pop_front() {
                 None => return,
                 Some(After::Read(conn)) => {
+                    if matches!(self.sockets.get(conn), Some(Some(socket)) if socket.full) {
+                        self.read_next(conn);
+                    }
                     if let Some(Some(socket)) = self.sockets.get(conn) {
-                        if socket.full {
-                            self.ready
-                                .push((conn, Readiness { readable: true, writable: false, error: false }));
-                        }
                         self.router.step(now, Event::Received(conn, &socket.input));
                     }
                 }
@@ -287,11 +286,7 @@
                 }
             }
             Effect::Send(conn, pieces) => {
-                let closed = |socket: &Socket| match socket.stream.peek(&mut [0]) {
-                    Err(e) => e.kind() != ErrorKind::WouldBlock,
-                    Ok(count) => count == 0,
-                };
-                if self.sockets.get(conn).and_then(Option::as_ref).is_some_and(closed) {
+                if self.unread(conn) == Some(0) {
                     return self.fail(conn);
                 }
                 self.effect(Effect::Write(conn, pieces));
@@ -308,11 +303,7 @@
             }
             Effect::Part(conn) => {
                 // What has come in, an end too, is met when the loop reads it.
-                let unread = |socket: &Socket| match socket.stream.peek(&mut [0]) {
-                    Err(e) => e.kind() != ErrorKind::WouldBlock,
-                    Ok(_) => true,
-                };
-                if !self.sockets.get(conn).and_then(Option::as_ref).is_some_and(unread) {
+                if self.unread(conn).is_none() {
                     self.fail(conn);
                 }
             }
@@ -323,6 +314,20 @@
         }
     }
 
+    /// Whether something has come in that is not read yet: some bytes, or, as none, the connection's end.
+    fn unread(&self, conn: Conn) -> Option<usize> {
+        let socket = self.sockets.get(conn)?.as_ref()?;
+        match socket.stream.peek(&mut [0]) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            peeked => Some(peeked.unwrap_or(0)),
+        }
+    }
+
+    /// Has a connection read next turn, though no word of the system's comes.
+    fn read_next(&mut self, conn: Conn) {
+        self.ready.push((conn, Readiness { readable: true, writable: false, error: false }));
+    }
+
     /// Closes a socket and has the reducer told, once.
     fn fail(&mut self, conn: Conn) {
         if let Some(socket) = self.take(conn) {
@@ -382,7 +387,7 @@
         for turn in 0.. {
             // Guards against one that sends at full speed keeping all others waiting.
             if turn == MOST_READS {
-                return self.ready.push((conn, Readiness { readable: true, writable: false, error: false }));
+                return self.read_next(conn);
             }
             let Some(Some(socket)) = self.sockets.get_mut(conn) else { return };
             socket.full = socket.input.len() >= MOST_REQUEST;
@@ -433,8 +438,7 @@
                 // What came before the break is still to be read; the end is met there.
                 Err(_) => {
                     socket.output.clear();
-                    self.ready.push((conn, Readiness { readable: true, writable: false, error: true }));
-                    return;
+                    return self.read_next(conn);
                 }
             }
         }
