Routers that know nothing begin their turns at nodes drawn at random

Cause: src/balance.rs, pick: min_by_key ended at the node's last turn, which is 0 for all at a start, so every router took the first of the list's holders. 315 routers that start together then send to one node in three. Ruled out: the burst (it begins at 7 s), the discovery service (lists were held from the start). Change: nodes with equal turns come in the order of their lot, which each router draws for itself. The test fails without the change (none of 100 routers begins at node 1).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -311,7 +311,9 @@
             .filter(|&&(n, ..)| roomy(n) && self.cold_room(now, n, planned(n) + 1, grade))
             .min_by_key(|&x| {
                 let shared = left.iter().filter(|&&p| self.holds(x.0, p));
-                (Reverse(care(x)), Reverse(shared.take(most).count()), planned(x.0), self.nodes[x.0].turn)
+                let (node, shared) = (&self.nodes[x.0], Reverse(shared.take(most).count()));
+                // Guards against routers that start together all taking the first of a list first.
+                (Reverse(care(x)), shared, planned(x.0), node.turn, (node.lot * 1e9) as u64)
             })
             .map(|x| (x.0, care(x)))
     }
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -37,7 +37,7 @@
     for (name, value) in base.iter().chain(more) {
         settings.set(name, crate::Value::Number(*value));
     }
-    let mut router = Balance::new(1, settings);
+    let mut router = Balance::new(2, settings);
     router.grades.push(Grade::new(&router.settings, 0, 32, 64));
     list(&mut router, Listing::Disk, &[(0, Phase::Ready, 0), (1, Phase::Ready, 0)]);
     router
@@ -82,6 +82,20 @@
     assert_eq!(settle(&mut router, NOW + 10), ["0 Whole"]);
 }
 
+#[test]
+fn routers_that_know_nothing_begin_their_turns_at_different_nodes() {
+    let first = |seed| {
+        let mut router = router("pure", &[]);
+        router.rng = fastrand::Rng::with_seed(seed);
+        router.nodes.clear();
+        list(&mut router, Listing::Disk, &[(0, Phase::Ready, 0), (1, Phase::Ready, 0)]);
+        ask(&mut router, 0, 1);
+        settle(&mut router, NOW)
+    };
+    let at_one = (0..100).filter(|&seed| first(seed) == ["send 1 1"]).count();
+    assert!((30..=70).contains(&at_one), "{at_one} of 100 begin at node 1");
+}
+
 #[test]
 fn parts_share_a_call_where_calls_carry_several() {
     let mut router = router("pure", &[("calls.parts", 4.0)]);
