--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -271,6 +271,10 @@
     let (few, many) = ([&[1.0][..], &[0.0; 99]].concat(), [[1.0; 25], [0.0; 25]].concat());
     assert_eq!(sends(&few, 2), (4, 4));
     assert_eq!(sends(&many, 2), (2, 2));
+    let mut router = router("pure", &[("calls.parts", 1.0)]);
+    router.paced_until = NOW + 1;
+    ask(&mut router, 0, 1);
+    assert_eq!(settle(&mut router, NOW).len(), 1);
 }
 
 #[test]
