Lists of any size, compact and indented: a watch's objects end where their brackets do

Cause: chunks and bodies of discovery's were held to the client's limit of 64 KiB (`http::chunk`, `MOST_BODY` in `call_read`), and `lines` cut a watch's objects at each line end. 1,100 entries are 190 KB compact and 300 KB indented, so the watch of a fleet of some 400 nodes failed each time it was opened, and a router served from the list of its start while nodes were replaced. A Content-Length near the largest number made `at + length` wrap and end the process.

Change: chunks are handed on as far as they have come (`http::Chunks`, one reader for clients and discovery); objects of a watch are cut at their brackets, each byte looked at once (`objects.rs`), up to 2 MiB; one that was begun is whole within 4 s. Without revision or members, cut off, or with an id twice in a whole list, a call fails as any other does and `lists_bad` and one line say why. An entry that can't be used costs no other.

--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -51,6 +51,7 @@
     probes_sent,
     lists_whole,
     lists_changes,
+    lists_bad,
     discovery_calls,
     discovery_failures,
     sockets_most,
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -2,7 +2,8 @@
 
 use crate::config::{Config, numbered};
 use crate::effects::{Conn, Effect};
-use crate::http::{self, Chunk, Framing, MOST_BODY};
+use crate::http::{self, Chunks, Framing};
+use crate::objects::{MOST_LIST, Next, Objects};
 use crate::reducer::{Alarm, Desk, Kind, Peer, Router};
 use crate::scatter::Place;
 use serde_json::Value as Json;
@@ -17,10 +18,15 @@
 #[derive(Debug)]
 pub struct Call {
     watch: bool,
-    /// How the body is framed, once the head is in.
+    /// How the body is framed, once the head is in, and how far it is read.
     framing: Option<Framing>,
-    /// What is in of the list, or of a watch's line.
+    chunks: Chunks,
+    read: usize,
+    /// What is in of the list.
     body: Vec<u8>,
+    /// What is in of a watch's objects, and since when one has begun that is not whole.
+    objects: Objects,
+    begun: Option<Micros>,
     /// The watch has said something.
     answered: bool,
 }
@@ -67,7 +73,16 @@
     /// Asks discovery; a call that finds no socket fails as any other does, with the next settle.
     pub fn call(&mut self, watch: bool) -> Option<Conn> {
         self.counters.discovery_calls += 1;
-        let call = Call { watch, framing: None, body: Vec::new(), answered: false };
+        let call = Call {
+            watch,
+            framing: None,
+            chunks: Chunks::new(MOST_LIST),
+            read: 0,
+            body: Vec::new(),
+            objects: Objects::default(),
+            begun: None,
+            answered: false,
+        };
         let Some(conn) = self.open(Kind::Call(call)) else {
             self.discovery.unheard += 1;
             return None;
@@ -113,6 +128,19 @@
     }
 }
 
+/// Says why a list as a whole can't be used; entries are judged one by one. An entry may change twice in one
+/// telling, but stands in a whole list once.
+fn usable(list: &Json, whole: bool) -> Result<(), &'static str> {
+    list["revision"].as_u64().ok_or("its revision is not a whole number")?;
+    let members = list["members"].as_array().ok_or("'members' is not a list")?;
+    let mut ids: Vec<&str> = members.iter().filter_map(|member| member["id"].as_str()).collect();
+    ids.sort_unstable();
+    if whole && ids.windows(2).any(|two| two[0] == two[1]) {
+        return Err("an id stands in it twice");
+    }
+    Ok(())
+}
+
 impl Router {
     /// The list held from before the start.
     pub fn known(&mut self, list: &Json) {
@@ -124,101 +152,115 @@
 
     pub fn call_received(&mut self, conn: Conn, bytes: &[u8]) {
         let now = self.desk.now;
-        self.desk.wake_at(conn, Some(now + 2 * EMPTY_LINES));
         match self.call_read(conn, bytes) {
-            Some((taken, over)) => {
+            Ok((taken, over)) => {
                 self.desk.effects.push(Effect::Taken(conn, taken));
+                // Guards against an object that was cut off, behind which a watch says nothing that can be read.
+                let call = self.desk.call_mut(conn);
+                call.begun = call.objects.begun().then_some(call.begun.unwrap_or(now));
+                let since = call.begun.unwrap_or(now);
+                self.desk.wake_at(conn, Some(since + 2 * EMPTY_LINES));
                 if over {
                     self.call_ended(conn);
                 }
             }
-            None => self.call_failed(conn),
+            Err(why) => {
+                self.desk.counters.lists_bad += 1;
+                tracing::warn!("what discovery said could not be used: {why}");
+                self.call_failed(conn);
+            }
         }
     }
 
-    /// Reads on; how many bytes were taken and whether the body is over, or nothing if it can't be used.
-    fn call_read(&mut self, conn: Conn, bytes: &[u8]) -> Option<(usize, bool)> {
+    /// Reads on; how many bytes were taken and whether the body is over, or why it can't be used.
+    fn call_read(&mut self, conn: Conn, bytes: &[u8]) -> Result<(usize, bool), &'static str> {
         let call = self.desk.call_mut(conn);
-        let mut at = 0;
+        let (mut at, mut over) = (0, false);
         let framing = match call.framing {
             Some(framing) => framing,
             None => {
-                let Some((status, length, framing)) = http::response(bytes).ok()? else {
-                    return Some((0, false));
+                let Some((status, length, framing)) = http::response(bytes).map_err(|bad| bad.1)? else {
+                    return Ok((0, false));
                 };
+                // Down, or too busy: its body is of no use, and what has no framing ends as a call that failed.
                 if status != 200 {
-                    return None;
+                    return Ok((bytes.len(), true));
                 }
                 at = length;
                 *call.framing.insert(framing)
             }
         };
-        let mut over = false;
+        let (watch, body, objects) = (call.watch, &mut call.body, &mut call.objects);
+        let mut take = |data: &[u8]| if watch { objects.push(data) } else { body.extend_from_slice(data) };
         match framing {
-            Framing::Chunks => loop {
-                match http::chunk(&bytes[at..]).ok()? {
-                    Chunk::More => break,
-                    Chunk::Data(data, next) => {
-                        call.body.extend_from_slice(&bytes[at..][data]);
-                        at += next;
-                    }
-                    Chunk::Last(next) => {
-                        (at, over) = (at + next, true);
-                        break;
-                    }
-                }
-            },
+            Framing::Chunks => {
+                let read = call.chunks.read(&bytes[at..], &mut take).map_err(|bad| bad.1)?;
+                (at, over) = (at + read.0, read.1);
+            }
+            Framing::Length(length) if length > MOST_LIST => return Err("the list is too long"),
             Framing::Length(length) => {
-                let rest = bytes.len().min(at + length - call.body.len());
-                call.body.extend_from_slice(&bytes[at..rest]);
-                (at, over) = (rest, call.body.len() == length);
+                let data = &bytes[at..bytes.len().min(at + length - call.read)];
+                take(data);
+                call.read += data.len();
+                (at, over) = (bytes.len(), call.read == length);
             }
             Framing::Open => {
-                call.body.extend_from_slice(&bytes[at..]);
+                take(&bytes[at..]);
                 at = bytes.len();
             }
         }
-        if self.desk.call_mut(conn).watch {
-            self.lines(conn)?;
+        if call.body.len() > MOST_LIST {
+            return Err("the list is too long");
+        }
+        if watch {
+            self.objects(conn)?;
         }
-        (self.desk.call_mut(conn).body.len() <= MOST_BODY).then_some((at, over))
+        Ok((at, over))
     }
 
-    /// Tells the module each line of a watch that is whole.
-    fn lines(&mut self, conn: Conn) -> Option<()> {
-        let body = std::mem::take(&mut self.desk.call_mut(conn).body);
-        let mut rest = &body[..];
-        while let Some(end) = rest.iter().position(|&b| b == b'\n') {
-            let line = rest[..end].trim_ascii();
-            rest = &rest[end + 1..];
+    /// Tells the module each object of a watch that is whole.
+    fn objects(&mut self, conn: Conn) -> Result<(), &'static str> {
+        loop {
+            let next = self.desk.call_mut(conn).objects.next()?;
+            if next == Next::More {
+                return Ok(());
+            }
             let first = !std::mem::replace(&mut self.desk.call_mut(conn).answered, true);
-            if !line.is_empty() {
-                let json: Json = serde_json::from_slice(line).ok()?;
-                let whole = json["complete"].as_bool()?;
-                self.list(&json, if whole { Listing::Whole } else { Listing::Changes });
-            } else if first {
-                self.list(&Json::Null, Listing::Changes);
+            match next {
+                Next::Object(object) => {
+                    let json: Json = serde_json::from_slice(&object).map_err(|_| "an object is not JSON")?;
+                    let whole = json["complete"].as_bool().ok_or("'complete' is missing")?;
+                    usable(&json, whole)?;
+                    self.list(&json, if whole { Listing::Whole } else { Listing::Changes });
+                }
+                _ if first => self.list(&Json::Null, Listing::Changes),
+                _ => {}
             }
         }
-        self.desk.call_mut(conn).body = rest.to_vec();
-        Some(())
     }
 
     /// A call is over, or nothing more is to be expected of it.
     pub fn call_ended(&mut self, conn: Conn) {
         let call = self.desk.call_mut(conn);
         let whole = match call.framing {
-            Some(Framing::Length(length)) => call.body.len() == length,
+            Some(Framing::Length(length)) => call.read == length,
             Some(_) => true,
             None => false,
         };
-        let list: Option<Json> = serde_json::from_slice(&call.body).ok().filter(|_| whole && !call.watch);
-        match list {
-            Some(list) if list["members"].is_array() => {
+        if call.watch || !whole {
+            return self.call_failed(conn);
+        }
+        let list = serde_json::from_slice(&call.body).map_err(|_| "the list is not JSON");
+        match list.and_then(|list: Json| usable(&list, true).map(|()| list)) {
+            Ok(list) => {
                 self.list(&list, Listing::Whole);
                 self.desk.close(conn);
             }
-            _ => self.call_failed(conn),
+            Err(why) => {
+                self.desk.counters.lists_bad += 1;
+                tracing::warn!("what discovery said could not be used: {why}");
+                self.call_failed(conn);
+            }
         }
     }
 
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 heads and bodies: requests of clients and answers of discovery, parsed where they lie.
 
 use std::borrow::Cow;
-use std::ops::Range;
 
 /// The protocol's limit on a body, and ours on a head and on its fields.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -39,41 +38,72 @@
     Open,
 }
 
-/// A step through a body in chunks.
-#[derive(Debug, PartialEq)]
-pub enum Chunk {
-    More,
-    /// Where the data lies, and where the next chunk begins.
-    Data(Range<usize>, usize),
-    /// The body is over; where the next message begins.
-    Last(usize),
+/// Where in a body in chunks its reader stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Head,
+    /// So much of a chunk's data is still to come.
+    Data(u64),
+    End,
 }
 
-/// The chunk at the start of `bytes`.
-pub fn chunk(bytes: &[u8]) -> Result<Chunk, Bad> {
-    const WRONG: Bad = (400, "the body's chunks are malformed");
-    let (head, size) = match httparse::parse_chunk_size(bytes) {
-        Ok(httparse::Status::Complete(found)) => found,
-        Ok(httparse::Status::Partial) if bytes.len() < MOST_HEAD => return Ok(Chunk::More),
-        _ => return Err(WRONG),
-    };
-    if size == 0 {
-        // Trailers are read and disregarded.
-        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-        return match httparse::parse_headers(&bytes[head..], &mut fields) {
-            Ok(httparse::Status::Complete((trailers, _))) => Ok(Chunk::Last(head + trailers)),
-            Ok(httparse::Status::Partial) if bytes.len() < MOST_HEAD => Ok(Chunk::More),
-            _ => Err(WRONG),
-        };
-    }
-    if size > MOST_BODY as u64 {
-        return Err((413, "the body is over 64 KiB"));
+/// Reads a body in chunks, each as far as it has come.
+#[derive(Debug)]
+pub struct Chunks {
+    most: usize,
+    at: At,
+}
+
+impl Chunks {
+    /// A chunk of over `most` bytes is refused at its first word.
+    pub fn new(most: usize) -> Chunks {
+        Chunks { most, at: At::Head }
     }
-    let end = head + size as usize;
-    match bytes.get(end..end + 2) {
-        None => Ok(Chunk::More),
-        Some(b"\r\n") => Ok(Chunk::Data(head..end, end + 2)),
-        Some(_) => Err(WRONG),
+
+    /// Hands on what data stands in `bytes`; how many of them were taken, and whether the body is over.
+    pub fn read(&mut self, bytes: &[u8], to: &mut dyn FnMut(&[u8])) -> Result<(usize, bool), Bad> {
+        const WRONG: Bad = (400, "the body's chunks are malformed");
+        let mut taken = 0;
+        loop {
+            let rest = &bytes[taken..];
+            match self.at {
+                At::Head => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((head, 0))) => {
+                        // Trailers are read and disregarded.
+                        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+                        return match httparse::parse_headers(&rest[head..], &mut fields) {
+                            Ok(httparse::Status::Complete((trailers, _))) => {
+                                Ok((taken + head + trailers, true))
+                            }
+                            Ok(httparse::Status::Partial) if rest.len() < MOST_HEAD => Ok((taken, false)),
+                            _ => Err(WRONG),
+                        };
+                    }
+                    Ok(httparse::Status::Complete((_, size))) if size > self.most as u64 => {
+                        return Err((413, "a chunk is too long"));
+                    }
+                    Ok(httparse::Status::Complete((head, size))) => {
+                        taken += head;
+                        self.at = At::Data(size);
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() < MOST_HEAD => return Ok((taken, false)),
+                    _ => return Err(WRONG),
+                },
+                At::Data(0) => self.at = At::End,
+                At::Data(_) if rest.is_empty() => return Ok((taken, false)),
+                At::Data(left) => {
+                    let data = &rest[..rest.len().min(left as usize)];
+                    to(data);
+                    taken += data.len();
+                    self.at = At::Data(left - data.len() as u64);
+                }
+                At::End => match rest.get(..2) {
+                    None => return Ok((taken, false)),
+                    Some(b"\r\n") => (taken, self.at) = (taken + 2, At::Head),
+                    Some(_) => return Err(WRONG),
+                },
+            }
+        }
     }
 }
 
@@ -152,25 +182,17 @@
     }
     match framing(head.headers, Framing::Length(0))? {
         Framing::Chunks => {
-            let (mut body, mut at) = (Vec::new(), start);
-            loop {
-                match chunk(&bytes[at..])? {
-                    Chunk::More if bytes.len() >= MOST_REQUEST => break,
-                    Chunk::More => return Ok(None),
-                    Chunk::Data(data, next) => {
-                        body.extend_from_slice(&bytes[at..][data]);
-                        at += next;
-                    }
-                    Chunk::Last(next) => {
-                        (request.body, request.length) = (Cow::Owned(body), at + next);
-                        return Ok(Some(request));
-                    }
-                }
-                if body.len() > MOST_BODY {
-                    break;
-                }
+            let mut body = Vec::new();
+            let mut chunks = Chunks::new(MOST_BODY);
+            let (taken, over) = chunks.read(&bytes[start..], &mut |data| body.extend_from_slice(data))?;
+            if body.len() > MOST_BODY || !over && bytes.len() >= MOST_REQUEST {
+                return Err((413, "the body is over 64 KiB"));
             }
-            Err((413, "the body is over 64 KiB"))
+            if !over {
+                return Ok(None);
+            }
+            (request.body, request.length) = (Cow::Owned(body), start + taken);
+            Ok(Some(request))
         }
         Framing::Length(length) if length <= MOST_BODY => {
             let Some(body) = bytes.get(start..start + length) else { return Ok(None) };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod gather;
 mod http;
 mod links;
+mod objects;
 mod query;
 mod reducer;
 mod scatter;
--- /dev/null
+++ b/crates/router/src/objects.rs
@@ -0,0 +1,116 @@
+//! A run of JSON objects as a watch sends them: one behind the other, on one line each or indented over many.
+
+/// The longest object or list that is read; some thousands of indented entries.
+pub const MOST_LIST: usize = 2 * 1024 * 1024;
+
+/// What stands at the front of the bytes held.
+#[derive(Debug, PartialEq)]
+pub enum Next {
+    More,
+    /// A line ended between objects.
+    Line,
+    Object(Vec<u8>),
+}
+
+/// Each byte is looked at once, however small the pieces are that it comes in.
+#[derive(Debug, Default)]
+pub struct Objects {
+    held: Vec<u8>,
+    seen: usize,
+    depth: usize,
+    text: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Whether an object has begun and is not whole.
+    pub fn begun(&self) -> bool {
+        self.depth > 0
+    }
+
+    pub fn next(&mut self) -> Result<Next, &'static str> {
+        while let Some(&byte) = self.held.get(self.seen) {
+            self.seen += 1;
+            if self.depth == 0 {
+                match byte {
+                    b'\n' => return Ok(Next::Line),
+                    b' ' | b'\t' | b'\r' => {}
+                    b'{' => {
+                        self.held.drain(..self.seen - 1);
+                        (self.seen, self.depth) = (1, 1);
+                    }
+                    _ => return Err("what comes is no object"),
+                }
+            } else if self.text {
+                match byte {
+                    _ if self.escaped => self.escaped = false,
+                    b'\\' => self.escaped = true,
+                    b'"' => self.text = false,
+                    // Guards against an object that was cut off and swallows all that follows.
+                    b'\n' => return Err("a text is cut off"),
+                    _ => {}
+                }
+            } else {
+                match byte {
+                    b'"' => self.text = true,
+                    b'{' | b'[' => self.depth += 1,
+                    b'}' | b']' => self.depth -= 1,
+                    _ => {}
+                }
+                if self.depth == 0 {
+                    let rest = self.held.split_off(self.seen);
+                    self.seen = 0;
+                    return Ok(Next::Object(std::mem::replace(&mut self.held, rest)));
+                }
+            }
+            if self.seen > MOST_LIST {
+                return Err("an object is too long");
+            }
+        }
+        if self.depth == 0 {
+            (self.held, self.seen) = (Vec::new(), 0);
+        }
+        Ok(Next::More)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn objects(bytes: &[u8], piece: usize) -> Result<Vec<String>, &'static str> {
+        let (mut stream, mut found) = (Objects::default(), Vec::new());
+        for bytes in bytes.chunks(piece) {
+            stream.push(bytes);
+            loop {
+                match stream.next()? {
+                    Next::More => break,
+                    Next::Line => {}
+                    Next::Object(object) => found.push(String::from_utf8(object).expect("text")),
+                }
+            }
+        }
+        Ok(found)
+    }
+
+    #[test]
+    fn objects_end_where_their_brackets_do_however_they_come() {
+        let (one, two) = (r#"{"a":"}\"{","b":[{}]}"#, "{\n  \"a\": [\n    {\"b\": \"\\\\\"}\n  ]\n}");
+        let text = format!("\n{one}\n\n \r\n{two}{one}\n");
+        for piece in 1..=text.len() {
+            assert_eq!(objects(text.as_bytes(), piece), Ok(vec![one.into(), two.into(), one.into()]));
+        }
+    }
+
+    #[test]
+    fn what_is_no_run_of_objects_is_known() {
+        assert!(objects(b"\n[1]\n", 9).is_err());
+        assert!(objects(b"{\"a\":\"b\n{\"a\":1}\n", 9).is_err());
+        assert!(objects(format!("{{{}}}", " ".repeat(MOST_LIST)).as_bytes(), 65_536).is_err());
+        assert!(objects(format!("{}{{}}", "\n".repeat(MOST_LIST)).as_bytes(), 65_536).is_ok());
+    }
+}
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -579,6 +579,146 @@
     }
 }
 
+/// A whole list of so many nodes, compact or indented.
+fn list_of(nodes: usize, indented: bool) -> String {
+    let member = |i: usize| {
+        serde_json::json!({"id": format!("s-{i:08x}"), "host_port": format!("127.0.0.1:{}", 2000 + i),
+            "locality": "z", "flavor": "std", "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0})
+    };
+    let members: Vec<_> = (0..nodes).map(member).collect();
+    let list = serde_json::json!({"revision": 60, "complete": true, "members": members});
+    if indented { serde_json::to_string_pretty(&list).expect("JSON") } else { list.to_string() }
+}
+
+/// Has a call answered with these bytes, so many at a time; what was not taken is told again.
+fn tell_in_pieces(bench: &mut Bench, call: Conn, bytes: &[u8], piece: usize) {
+    let mut left = Vec::new();
+    for piece in bytes.chunks(piece) {
+        left.extend_from_slice(piece);
+        bench.router.step(START, Event::Received(call, &left));
+        for effect in std::mem::take(&mut bench.router.desk.effects) {
+            if let Effect::Taken(_, count) = effect {
+                left.drain(..count);
+            }
+        }
+    }
+}
+
+/// How many nodes of 0 to 2,000 are taken for ready after an answer.
+fn ready_after(watch: bool, bytes: &[u8], piece: usize) -> usize {
+    let mut bench = Bench::new();
+    let call = if watch { bench.links[0].0 } else { bench.router.desk.call(false).expect("a socket") };
+    bench.effects();
+    bench.tell(Event::Up(call));
+    tell_in_pieces(&mut bench, call, bytes, piece);
+    bench.router.desk.scatter.nodes.iter().filter(|place| place.ready).count()
+}
+
+#[test]
+fn lists_of_any_size_are_read_compact_and_indented_by_length_and_in_chunks() {
+    for indented in [false, true] {
+        let list = list_of(1_100, indented);
+        assert!(list.len() > 2 * crate::http::MOST_BODY);
+        let by_length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let one_chunk = format!("{head}1\r\n\n\r\n{:x}\r\n{list}\r\n1\r\n\n\r\n0\r\n\r\n", list.len());
+        let chunks: Vec<String> = list
+            .as_bytes()
+            .chunks(5_000)
+            .map(|chunk| format!("{:x}\r\n{}\r\n", chunk.len(), std::str::from_utf8(chunk).expect("text")))
+            .collect();
+        let many_chunks = format!("{head}{}0\r\n\r\n", chunks.concat());
+        for text in [by_length, one_chunk, many_chunks] {
+            for (watch, piece) in [(false, text.len()), (true, text.len()), (false, 4_096), (true, 4_096)] {
+                assert_eq!(
+                    ready_after(watch, text.as_bytes(), piece),
+                    1_100,
+                    "{watch} {piece} {}",
+                    &text[..60]
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn an_indented_list_is_read_wherever_it_is_cut() {
+    let list = list_of(3, true);
+    let text =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n", list.len() + 1);
+    for piece in 1..text.len() {
+        assert_eq!(ready_after(true, text.as_bytes(), piece), 3, "pieces of {piece}");
+    }
+}
+
+#[test]
+fn a_list_that_cannot_be_used_leaves_the_one_in_hand_and_is_asked_for_again() {
+    let member = r#"{"id":"c","host_port":"127.0.0.1:73","cell":0,"phase":"ready"}"#;
+    for (watch, body) in [
+        (true, r#"{"complete":true,"members":[]}"#.to_string()),
+        (true, r#"{"revision":-4,"complete":true,"members":[]}"#.to_string()),
+        (true, r#"{"revision":44,"members":[]}"#.to_string()),
+        (true, r#"{"revision":44,"complete":true,"members":{}}"#.to_string()),
+        (true, format!(r#"{{"revision":44,"complete":true,"members":[{member},{member}]}}"#)),
+        (true, "[]".to_string()),
+        (true, r#"{"revision":44,"complete":tr}"#.to_string()),
+        (false, r#"{"revision":"x","complete":true,"members":[]}"#.to_string()),
+        (false, r#"{"revision":44,"complete":true,"members":["#.to_string()),
+        (false, format!(r#"{{"revision":44,"complete":true,"members":[{member},{member}]}}"#)),
+        (false, "x".repeat(crate::objects::MOST_LIST + 1)),
+    ] {
+        let mut bench = Bench::new();
+        let call = if watch { bench.links[0].0 } else { bench.router.desk.call(false).expect("a socket") };
+        bench.effects();
+        bench.tell(Event::Up(call));
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        bench.tell(Event::Received(call, text.as_bytes()));
+        let counters = &bench.router.desk.counters;
+        assert_eq!(
+            (counters.lists_bad, counters.discovery_failures),
+            (1, 1),
+            "{}",
+            &body[..body.len().min(80)]
+        );
+        assert!(bench.router.desk.scatter.nodes.iter().all(|place| place.ready), "the list in hand stays");
+        let calls = bench.router.desk.counters.discovery_calls;
+        bench.settle();
+        bench.pass(20_000_000);
+        assert!(bench.router.desk.counters.discovery_calls > calls);
+    }
+    // A length that no list has is not believed, however little comes.
+    let mut bench = Bench::new();
+    let call = bench.links[0].0;
+    bench.tell(Event::Up(call));
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{{", usize::MAX);
+    bench.tell(Event::Received(call, text.as_bytes()));
+    assert_eq!(bench.router.desk.counters.lists_bad, 1);
+}
+
+#[test]
+fn an_entry_that_cannot_be_used_costs_no_other() {
+    let body = r#"{"revision":44,"complete":true,"members":[{"id":"x"},7,{"id":"y","cell":0,"phase":"asleep"},
+        {"id":"b","host_port":"127.0.0.1:72","locality":"z","cell":0,"phase":"ready"}]}"#;
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    assert_eq!(ready_after(true, text.as_bytes(), text.len()), 1);
+}
+
+#[test]
+fn a_watch_whose_object_was_cut_off_is_broken_though_lines_go_on() {
+    let mut bench = Bench::new();
+    let call = bench.links[0].0;
+    bench.tell(Event::Up(call));
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    bench.tell(Event::Received(call, format!("{head}e\r\n{{\"revision\":1,\r\n").as_bytes()));
+    for _ in 0..3 {
+        bench.pass(1_500_000);
+        if bench.router.desk.kind(call).is_some() {
+            bench.tell(Event::Received(call, b"1\r\n\n\r\n"));
+        }
+    }
+    assert_eq!(bench.router.desk.counters.discovery_failures, 1);
+}
+
 #[test]
 fn discovery_that_moves_is_watched_anew_and_its_old_address_is_heard_no_more() {
     let mut bench = Bench::new();
