Jammed cells are left to those that need them, and fresh routers save up by their own time

At fault: `admit` and `further`, which carry parts that a floor spares like any other; `average` in `learn_usual`. Change: `forgo` lets half of what a floor spares go where all holders turned shots away within 10 s; the average goes by the time since the start.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -2,9 +2,8 @@
 //!
 //! A front calls the methods of `Events` for what came in at an instant, then `settle`, and carries out the
 //! `Actions` that it is handed; both traits are in `lib.rs`, the plain records in `state.rs`. In `settle`
-//! each retrieval runs down `CHAIN`, whose stages pass it on, keep it or end it; a shot's outcome runs the
-//! chain the other way: `learn` (choice of node), `free` (admission), the book (answer). `docs/design.md`
-//! says what is the design's and which departures act when.
+//! each retrieval runs down `CHAIN`, whose stages pass it on, keep it or end it; a shot's outcome runs it the
+//! other way: `learn` (choice of node), `free` (admission), the book. `docs/design.md` has the departures.
 
 #[cfg(test)]
 mod tests;
@@ -67,8 +66,9 @@
     /// How long nodes had said nothing before a shot, below zero if it was lost; the pause to doubt.
     rests: Samples,
     doubtful: Micros,
-    /// Work sent, and what that makes for a ready node a microsecond.
+    /// Work sent, since when it decides, and what that makes for a ready node a microsecond.
     sent: Samples,
+    began: Option<Micros>,
     average: f64,
     taken: Samples,
     further: Samples,
@@ -107,11 +107,6 @@
         }
     }
 
-    fn know_grades(&mut self, count: usize) {
-        let new = self.grades.len()..count;
-        self.grades.extend(new.map(|g| Grade::new(&self.settings, g, 32, 64)));
-    }
-
     /// Answers are sent this long before a limit, since the router acts on ticks.
     fn margin(&self) -> Micros {
         2 * self.site.tick + 2_000
@@ -183,8 +178,10 @@
         if new && count > self.site.call_parts && now < self.paced_until {
             return Step::Keep;
         }
+        self.forgo(now, r);
+        let held = self.book.held(r);
         let mut unsent = held.parts[held.step..].to_vec();
-        unsent.retain(|&p| self.book.part(p).shots.is_empty());
+        unsent.retain(|&p| self.book.part(p).shots.is_empty() && !self.book.part(p).lost);
         let mut plan = self.plan(now, &unsent);
         if new {
             let sure: f64 = plan.iter().map(|&(p, _)| self.book.part(p).weight).sum();
@@ -209,10 +206,26 @@
         Step::Pass
     }
 
+    /// Departure: half of what its floor spares is not fought for at nodes that turn shots away. Guards against
+    /// retrievals that can be answered without a jammed cell taking its places from those that need it.
+    fn forgo(&mut self, now: Micros, r: usize) {
+        let held = self.book.held(r);
+        let (grade, parts) = (&self.grades[held.grade], held.parts[held.step..].to_vec());
+        let (least, mut possible) = ((grade.floor + grade.need) / 2.0, self.book.tally(&parts).1);
+        for p in parts.into_iter().filter(|_| grade.floor < grade.need) {
+            let (part, partial) = (self.book.part(p), possible + 1e-5 < grade.need);
+            let jammed = |&n: &Node| self.nodes[n].fulls > 0 && self.nodes[n].full_until > now - RECENT;
+            let idle = !part.done && !part.lost && part.out == 0 && possible - part.weight >= least;
+            let all = || self.shards.holders(part.shard).iter().all(jammed);
+            if idle && (partial && part.shots.last().is_some_and(jammed) || all()) {
+                possible -= part.weight;
+                self.book.part_mut(p).lost = true;
+            }
+        }
+    }
+
     /// How long the next retrieval of more than a call waits for the one that goes now. Guards against routers that
-    /// each send too little to learn which nodes are full: a retrieval of many parts fails at the one node that
-    /// is, its work elsewhere is lost, and its client asks again at once. Going by all nodes' answers together,
-    /// they send as many times less as too many were turned away.
+    /// learn too little of each node: by all nodes' answers they send as many times less as too many were full.
     fn pause(&self, now: Micros, parts: usize) -> Micros {
         let from = now - RECENT / 2;
         let slower = self.turned.sum(from) / self.turned.count(from).max(16) as f64 / CROWDED;
@@ -223,9 +236,8 @@
         (parts as f64 * slower.min(SLOWEST) / asked) as Micros
     }
 
-    /// Guards against a retrieval that brings down each node that begins a part of it: no part of it may be
-    /// carried from node to node. Told from a crash by its own parts: none was ever answered. Holds back
-    /// what is unsent, and other tries, until one is; ends it once all it sent fell, and knows it again.
+    /// Guards against a retrieval that brings down each node that begins a part of it; none of its parts was ever
+    /// answered. Holds back what is unsent, and other tries, until one is; ends it once all it sent fell.
     fn scout(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
         if held.answered || !held.scouted && held.fallen.is_empty() {
@@ -353,8 +365,7 @@
             return 0;
         }
         let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade, n));
-        // An effectful part gets no other shot, so its first choice must be proven, and break off less than a
-        // tenth of what it begins.
+        // An effectful part gets no other shot: its first choice breaks off less than a tenth of what it begins.
         let doubt = node.in_doubt(grade);
         let proven = !doubt && node.lost(now - RECENT) < 0.1;
         let wanting = !proven && self.grades[grade].effect == Effect::Effectful;
@@ -407,7 +418,9 @@
             self.zones.iter().map(|z| z.quantile(0.2, from).filter(|_| z.count(from) > 7)).collect();
         let least = low.iter().flatten().copied().fold(f64::INFINITY, f64::min);
         self.ways = low.into_iter().map(|low| low.map_or(0, |low| (low - least) as Micros)).collect();
-        self.average = self.sent.sum(from) / RECENT as f64 / self.shards.ready.max(1) as f64;
+        // Guards against a restarted router that takes the time before its start for one without traffic.
+        let up = (now - *self.began.get_or_insert(now)).clamp(RECENT / 10, RECENT);
+        self.average = self.sent.sum(from) / up as f64 / self.shards.ready.max(1) as f64;
         for grade in &mut self.grades {
             grade.span = grade.spans.quantile(0.75, from).map_or(0, |s| (s as Micros).min(grade.agreed / 2));
         }
@@ -579,15 +592,13 @@
                 Samples::at(&mut self.zones, node.zone, 64).push(now, lag as f64);
                 return;
             }
-            // Guards against a storm of shots that a full node turns away: each costs the node work, and all
-            // nodes may be full at once. It is left alone, longer each time, until it answers something.
+            // Guards against a storm of shots that a full node turns away, each at the cost of work.
             Outcome::Full if now < node.full_until => return,
             Outcome::Full => {
                 node.fulls = (node.fulls + 1).min(5);
                 return node.full_until = now + ((usual / 2) << node.fulls).min(RECENT / 10);
             }
-            // Guards against answers spoilt and connections broken on the way, at any node: that makes for
-            // doubt, one call at a time until it answers. Out of reach then, it fell.
+            // Guards against answers spoilt and connections broken on the way: one call at a time until it answers.
             Outcome::Spoilt | Outcome::Broken => return node.struck = now,
             _ if outcome == Outcome::Unsent || silent && !late => return,
             _ => {}
@@ -598,8 +609,7 @@
         if outcome != Outcome::Error {
             node.lags.push(now, lag.max(limit) as f64);
         }
-        // One strike an episode: what fell together is one piece of evidence. Guards against nodes that leave
-        // one grade unanswered: a silence does not count for one that was answered meanwhile.
+        // One strike an episode; a silence does not count for a grade that was answered meanwhile.
         for g in 0..self.grades.len() {
             let record = node.record_mut(g);
             if now >= record.barred_until && !(silent && (record.last_ok > now - lag || slow_way)) {
@@ -709,9 +719,8 @@
         &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, again: bool,
     ) {
-        // Departure: a client asks again within one patience. Its last try lasts what is left of that, unlike
-        // the others, so it shows how much of the agreed time is gone. What cannot be in time waits behind.
-        self.know_grades(grade + 1);
+        // Departure: a client's last try lasts what is left of its patience, so it shows how much time is gone.
+        Grade::know(&mut self.grades, grade + 1, &self.settings);
         let (settings, tenants) = (&self.settings, self.tenants.len());
         let quota = |t| settings.number(&format!("tenant.{t}.per_s")).unwrap_or(f64::INFINITY);
         self.tenants.extend((tenants..=tenant).map(|t| (Samples::new(64), quota(t))));
@@ -721,7 +730,6 @@
         let odd = (left - common).abs() > 4.0 * self.site.tick as f64;
         let spent = if odd { (of.patience as f64 - left).max(0.0) } else { 0.0 };
         let agreed = now + (of.agreed as f64 + of.stretch * work as f64 - spent) as Micros;
-        // What a tenant asks beyond its share waits behind too.
         let (asked, per_s) = &mut self.tenants[tenant];
         asked.push(now, 1.0);
         let over = asked.sum(now - RECENT / 3) > *per_s / self.site.routers * (RECENT / 3) as f64 / 1e6;
@@ -758,9 +766,8 @@
     /// Departure: sums are one piece of evidence each, for what befell more than half of the shots.
     fn summed(&mut self, now: Micros, n: Node, sums: &Sums) {
         let half = (sums.answered + sums.failed + sums.unreachable) / 2.0;
-        self.know_grades(
-            (0..).take_while(|g| !self.settings.text(&format!("grade.{g}.name")).is_empty()).count(),
-        );
+        let named = |g: &usize| !self.settings.text(&format!("grade.{g}.name")).is_empty();
+        Grade::know(&mut self.grades, (0..).take_while(named).count(), &self.settings);
         self.nodes[n].told = Some((now, sums.held));
         let outcome = if sums.unreachable > half {
             Outcome::Unreachable
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -381,6 +381,65 @@
     assert!(!router.cold_room(NOW + 1_500_000, 0, 1, 0) && router.cold_room(NOW + 2_000_000, 0, 1, 0));
 }
 
+#[test]
+fn a_restarted_router_saves_up_by_what_it_sent_since_its_start() {
+    // Half a second of work at two nodes within a second of its first decision, or of ten.
+    let average = |up: Micros| {
+        let mut router = router("pure", &[]);
+        router.learn_usual(NOW - up);
+        router.sent.push(NOW - 10, 500_000.0);
+        router.learn_usual(NOW);
+        router.average
+    };
+    assert_eq!((average(1_000_000), average(10_000_000), average(90_000_000)), (0.25, 0.025, 0.025));
+}
+
+/// A retrieval of four parts that may be answered from half of them; the nodes of `full` turned shots away of late.
+fn floored(floor: f64, full: &[Node]) -> Balance {
+    let mut router = router("pure", &[("grade.0.floor", floor), ("grade.0.part_share", 0.9)]);
+    for &n in full {
+        router.nodes[n].fulls = 1;
+        router.nodes[n].full_until = NOW - 1;
+    }
+    ask(&mut router, 0, 4);
+    router
+}
+
+fn lost(router: &Balance) -> usize {
+    (1..5).filter(|&p| router.book.part(p).lost).count()
+}
+
+#[test]
+fn what_a_floor_spares_is_not_fought_for_where_all_holders_turn_shots_away() {
+    let lost_of = |floor, full: &[Node]| {
+        let mut router = floored(floor, full);
+        router.forgo(NOW, 0);
+        lost(&router)
+    };
+    // Half of what the floor spares is a quarter: one part of four.
+    assert_eq!((lost_of(0.5, &[0, 1]), lost_of(0.5, &[0]), lost_of(1.0, &[0, 1])), (1, 0, 0));
+    // What was seen long ago says nothing of now, nor does what was followed by an answer.
+    let mut router = floored(0.5, &[0, 1]);
+    router.nodes[0].full_until = NOW - RECENT - 1;
+    router.forgo(NOW, 0);
+    assert_eq!(lost(&router), 0);
+}
+
+#[test]
+fn what_cannot_be_whole_any_more_is_not_carried_from_a_full_node_to_the_next() {
+    let mut router = floored(0.5, &[]);
+    assert_eq!(settle(&mut router, NOW).len(), 4);
+    router.outcome(NOW + 9, 1, 0, 0, Outcome::Full, 9, &[]);
+    router.forgo(NOW + 9, 0);
+    assert_eq!(lost(&router), 0, "another holder may have room");
+    let mut router = floored(0.0, &[]);
+    settle(&mut router, NOW);
+    router.book.part_mut(4).lost = true;
+    router.outcome(NOW + 9, 1, 0, 0, Outcome::Full, 9, &[]);
+    router.forgo(NOW + 9, 0);
+    assert!(router.book.part(1).lost);
+}
+
 #[test]
 fn what_could_not_be_reached_counts_as_cold_before_the_list_says_so() {
     let mut router = router("pure", &[]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,12 @@
             span: 0,
         }
     }
+
+    /// Grows the list of grades to `count`.
+    pub fn know(grades: &mut Vec<Grade>, count: usize, settings: &Settings) {
+        let new = grades.len()..count;
+        grades.extend(new.map(|g| Grade::new(settings, g, 32, 64)));
+    }
 }
 
 #[derive(Clone, Debug)]
