Pace of admission: a refusal counts only once a second node turns the part away too

Cause: the pace counts every refusal as a sign of load (`outcome`, `pause`). A node that hangs turns away each shot in 3 ms, and the part is answered by the next holder; a twentieth of such nodes is two and a half times `CROWDED`. At a quiet router a wait of more than its own usual interval is a refusal, so retrievals of many parts were refused unsent while every cell had room.

Change: a refusal is counted with the next one of its part.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,6 @@
 //! The decisions of yewpier: one `Balance` decides for one router, from its settings and its own events.
 //!
-//! A front calls the methods of `Events` for what came in at an instant, then `settle`, and carries out the
-//! `Actions` that it is handed; both traits are in `lib.rs`, the plain records in `state.rs`. In `settle`
+//! A front calls the methods of `Events`, then `settle`, and carries out the `Actions` (`lib.rs`). In `settle`
 //! each retrieval runs down `CHAIN`, whose stages pass it on, keep it or end it; a shot's outcome runs it the
 //! other way: `learn` (choice of node), `free` (admission), the book. `docs/design.md` has the departures.
 
@@ -17,8 +16,7 @@
 const RECENT: Micros = 10_000_000;
 /// Parts in flight at a listed node to start with, and at most.
 const BOUND: f64 = 8.0;
-/// The share of shots turned away up to which new retrievals are admitted as fast as they come, and how much
-/// slower they are admitted at most.
+/// The share of shots turned away up to which new retrievals go as they come, and how much slower at most.
 const CROWDED: f64 = 0.02;
 const SLOWEST: f64 = 10.0;
 /// How long nodes that fell make for caution, and how many.
@@ -82,7 +80,7 @@
     /// Nodes that fell of late, whether that makes for caution, and what retrievals brought them down.
     falls: Samples,
     cautious: bool,
-    /// Of shots that nodes answered or turned away, 1 for those; until when new retrievals wait for that.
+    /// Of shots answered or turned away by a second node, 1 for those; until when new retrievals wait for that.
     turned: Samples,
     paced_until: Micros,
     fatal: Vec<(Micros, [usize; 4])>,
@@ -753,9 +751,11 @@
         if matches!(outcome, Outcome::Broken | Outcome::Ok) && self.book.part(p).rest >= 0 {
             self.rested(now, lost, shot.rest);
         }
-        if matches!(outcome, Outcome::Full | Outcome::Ok) {
-            self.turned.push(now, (outcome == Outcome::Full) as u8 as f64);
-        }
+        // A node that turns all away tells nothing of the load while another answers: a refusal counts with the next.
+        let full = outcome == Outcome::Full;
+        let counts =
+            if full { [0, 2, 1][self.book.part(p).proven.min(2)] } else { (outcome == Outcome::Ok) as usize };
+        (0..counts).for_each(|_| self.turned.push(now, full as u8 as f64));
         if !lost || shot.rest < self.doubtful {
             self.learn(now, n, grade, outcome, lag);
             self.free(now, n, grade, outcome, lag);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -611,3 +611,109 @@
     assert!((router.defers(NOW, &[0, 1]) - 0.5).abs() < 0.05);
     assert_eq!(router.defers(NOW + 2 * RECENT, &[0, 1]), 0.0, "what was said long ago");
 }
+
+/// A small fleet on a clock of its own: 40 cells of one shard with two nodes each, 300 routers of which this is one,
+/// a grade of one part and one of twenty. Good nodes answer in 20 ms, full ones turn away in 3 ms.
+struct Fleet {
+    router: Balance,
+    full: Vec<Node>,
+    /// What comes back when: part, trial, node, outcome and its lag.
+    back: Vec<(Micros, usize, usize, Node, Outcome, Micros)>,
+    trials: std::collections::BTreeMap<usize, usize>,
+    now: Micros,
+    /// By retrieval, whether it was whole in time.
+    ends: Vec<(usize, bool)>,
+}
+
+impl Actions for Fleet {
+    fn send(&mut self, part: usize, node: Node, _allow: Micros) {
+        let trial = self.trials.entry(part).or_default();
+        let (outcome, lag) =
+            if self.full.contains(&node) { (Outcome::Full, 3_000) } else { (Outcome::Ok, 20_000) };
+        self.back.push((self.now + lag, part, *trial, node, outcome, lag));
+        *trial += 1;
+    }
+    fn finish(&mut self, retrieval: usize, end: End) {
+        let asked = NOW + (retrieval / 100) as Micros * 500_000;
+        self.ends.push((retrieval, end == End::Whole && self.now <= asked + 300_000));
+    }
+}
+
+impl Fleet {
+    /// `nodes`: the cell of each and when it started.
+    fn new(nodes: &[(usize, Micros)], full: &[Node]) -> Fleet {
+        let mut settings = Settings::default();
+        for (name, value) in [
+            ("shards.cells", 40.0),
+            ("shards.width", 1.0),
+            ("routers", 300.0),
+            ("calls.parts", 4.0),
+            ("calls.work_us", 7_000.0),
+            ("limits.shots", 3.0),
+            ("tick_us", 5_000.0),
+            ("rules.tip_after_us", 3e6),
+            ("rules.tip_multiple", 2.5),
+            ("rules.cold_from", 0.2),
+            ("rules.warm_up_us", 18e6),
+        ] {
+            settings.set(name, crate::Value::Number(value));
+        }
+        for g in 0..2 {
+            settings.set(&format!("grade.{g}.effect"), crate::Value::Text("pure".into()));
+            settings.set(&format!("grade.{g}.agreed_us"), crate::Value::Number(300_000.0));
+            settings.set(&format!("grade.{g}.patience_us"), crate::Value::Number(1e6));
+        }
+        let mut router = Balance::new(3, settings);
+        router.list_begins(NOW, Listing::Disk);
+        for (n, &(cell, up_since)) in nodes.iter().enumerate() {
+            router.listed(NOW, n, 0, cell, Phase::Ready, 1.0, up_since);
+        }
+        router.list_ends(NOW, &mut Tape::default());
+        let (back, trials, ends) = (Vec::new(), Default::default(), Vec::new());
+        Fleet { router, full: full.to_vec(), back, trials, now: NOW, ends }
+    }
+
+    /// Each second one retrieval of each of these grades; how many of all were not answered whole in time.
+    fn play(mut self, grades: &[usize]) -> usize {
+        let mut router = std::mem::take(&mut self.router);
+        for tick in 0..4_400 {
+            self.now = NOW + tick * 5_000;
+            let (second, of) = (tick as usize / 200, tick % 200);
+            let grade = (of > 0) as usize;
+            if of % 100 == 0 && second < 20 && grades.contains(&grade) {
+                let r = 100 * (2 * second + grade);
+                let parts = [1, 20][grade];
+                router.retrieval(self.now, r, grade, 0, self.now + 1_000_000, 0, parts, false);
+                for i in 0..parts {
+                    router.part(self.now, r, r + 1 + i, (second + 2 * i) % 40, 1.0 / parts as f64, 0);
+                }
+            }
+            let (due, later) = std::mem::take(&mut self.back).into_iter().partition(|b| b.0 <= self.now);
+            self.back = later;
+            for (_, part, trial, node, outcome, lag) in due {
+                router.outcome(self.now, part, trial, node, outcome, lag, &[]);
+            }
+            router.settle(self.now, &mut self);
+        }
+        assert_eq!(self.ends.len(), 20 * grades.len(), "each gets its one answer");
+        self.ends.iter().filter(|end| !end.1).count()
+    }
+}
+
+#[test]
+fn after_a_roll_of_half_of_the_nodes_a_fresh_router_refuses_no_grade() {
+    let old = (0..40).map(|cell| (cell, 0));
+    let new = (0..40).map(|cell| (cell, NOW - 1_000_000));
+    let nodes: Vec<_> = old.chain(new).collect();
+    for grades in [&[0][..], &[1], &[0, 1]] {
+        assert_eq!(Fleet::new(&nodes, &[]).play(grades), 0, "{grades:?}");
+    }
+}
+
+#[test]
+fn nodes_that_turn_all_away_hold_no_grade_back_at_a_quiet_router() {
+    let nodes: Vec<_> = (0..80).map(|n| (n % 40, 0)).collect();
+    for grades in [&[0][..], &[1], &[0, 1]] {
+        assert_eq!(Fleet::new(&nodes, &[3, 4, 5, 6]).play(grades), 0, "{grades:?}");
+    }
+}
