--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -641,6 +641,23 @@
     }
 }
 
+#[test]
+fn the_list_of_the_start_may_have_any_size_and_so_may_the_fleet_of_routers() {
+    for indented in [false, true] {
+        let mut config: serde_json::Value = serde_json::from_str(CONFIG).expect("JSON");
+        config["known"] = serde_json::from_str(&list_of(1_100, indented)).expect("JSON");
+        config["settings"]["instances"] = 2_000.into();
+        let text =
+            if indented { serde_json::to_string_pretty(&config) } else { serde_json::to_string(&config) };
+        let config = Config::parse(&text.expect("JSON")).expect("fit to serve");
+        let mut bench = Bench { router: Router::new(&config, START), ..Bench::new() };
+        assert_eq!(bench.router.desk.scatter.nodes.iter().filter(|place| place.ready).count(), 1_100);
+        let conn = bench.ask("look", "t1");
+        let links = bench.links.iter().filter(|link| link.1 >= 2_000).count();
+        assert!(links > 0 && bench.said(conn).is_empty(), "its parts are on their way");
+    }
+}
+
 #[test]
 fn an_indented_list_is_read_wherever_it_is_cut() {
     let list = list_of(3, true);
