One way for what discovery says and can't be used to end its call

A list that came whole and one that came in pieces counted, logged and failed in the same three lines, written twice. Both go through `call_unusable` now.

--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -164,11 +164,7 @@
                     self.call_ended(conn);
                 }
             }
-            Err(why) => {
-                self.desk.counters.lists_bad += 1;
-                tracing::warn!("what discovery said could not be used: {why}");
-                self.call_failed(conn);
-            }
+            Err(why) => self.call_unusable(conn, why),
         }
     }
 
@@ -256,14 +252,16 @@
                 self.list(&list, Listing::Whole);
                 self.desk.close(conn);
             }
-            Err(why) => {
-                self.desk.counters.lists_bad += 1;
-                tracing::warn!("what discovery said could not be used: {why}");
-                self.call_failed(conn);
-            }
+            Err(why) => self.call_unusable(conn, why),
         }
     }
 
+    fn call_unusable(&mut self, conn: Conn, why: &str) {
+        self.desk.counters.lists_bad += 1;
+        tracing::warn!("what discovery said could not be used: {why}");
+        self.call_failed(conn);
+    }
+
     fn call_failed(&mut self, conn: Conn) {
         if self.desk.discovery.watch == Some(conn) {
             self.desk.discovery.watch = None;
