What waits of a query that has ended is taken back, wherever it waits

A client leaves while its query waits for a connection to come up; then the node still gets it: left: [0, 0, 0, 19, 82, 't1.0 0 d=18983 1\nq'] right: [] In `client_ended` and `finish` only the module heard of the end. It withdraws what it may (settings.ceilings.cancelling), and what stood in a connection's queue, in `Scatter::calls` for want of a socket, or half written behind what a node does not read, went out when its turn came, seconds later. Three more ways to the same end, each with its test: - `turn` heard sockets in the system's order, so a connection that came up was written before the client's end or the drain that stood unread in the same turn. What is up is heard first now. - alarms come after sockets: what came up in the turn in which its time was over was written with d=0 (502 for an unsafe class that never ran; 503 now). - `client_received` left what was sent behind a request unread once the buffer was full, so the end behind it was never seen (`retrievals_left_by_client never came to 1`). It is read and dropped; such a client's connection is closed after its answer. Ruled out: the module (it closes the query at once), the timers (the attempt's own time is the client's deadline). Tests: five in crates/cli/tests/rare.rs, two in reducer/tests.rs; all five on sockets fail without the mend.

--- /dev/null
+++ b/crates/cli/tests/rare.rs
@@ -0,0 +1,122 @@
+//! Rare moments: each test forces one bad order of events, on real connections.
+
+mod rig;
+
+use rig::{Node, Router, Shut, config, frame, query};
+use rustix::process::Signal;
+use serde_json::{Value as Json, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use yewpier_standins::{Discovery, member};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn one(at: SocketAddr) -> Discovery {
+    Discovery::start(8, vec![member("a", &at.to_string(), "z", 0, "ready", 0)])
+}
+
+/// A router before one node, once it knows that node.
+fn before(name: &str, at: SocketAddr, deadline: Duration) -> (Router, Discovery) {
+    let discovery = one(at);
+    let router = Router::start(name, &config(discovery.at, deadline));
+    router.until("lists_whole", 2);
+    (router, discovery)
+}
+
+#[test]
+fn a_query_whose_client_left_is_not_sent_on_a_connection_that_comes_up_late() {
+    let node = Shut::new();
+    let (router, _discovery) = before("left", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("look", "t1", LONG);
+    router.until("links_opened", 1);
+    drop(client);
+    router.until("retrievals_left_by_client", 1);
+    let mut end = node.open();
+    let log = router.end();
+    assert_eq!(end.rest(), b"");
+    assert!(log.contains("shots_unsent 1\n") && log.contains("shots_sent 0\n"), "{log}");
+}
+
+#[test]
+fn a_clients_end_is_heard_before_a_connection_that_came_up_in_the_same_turn() {
+    let node = Shut::new();
+    let (router, _discovery) = before("turn", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("look", "t1", LONG);
+    router.until("links_opened", 1);
+    router.hold();
+    let mut end = node.open();
+    drop(client);
+    router.release();
+    router.until("retrievals_left_by_client", 1);
+    router.end();
+    assert_eq!(end.rest(), b"");
+}
+
+#[test]
+fn a_drain_is_heard_before_a_connection_that_came_up_in_the_same_turn() {
+    let node = Shut::new();
+    let (router, discovery) = before("drain", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("look", "t1", LONG);
+    router.until("links_opened", 1);
+    router.hold();
+    let mut end = node.open();
+    let told = discovery.told();
+    discovery.tell(vec![member("a", &node.at.to_string(), "z", 0, "draining", 0)]);
+    discovery.wait_told(told + 1);
+    router.release();
+    router.until("lists_changes", 1);
+    drop(client);
+    router.end();
+    assert_eq!(end.rest(), b"");
+}
+
+#[test]
+fn a_connection_that_comes_up_once_a_querys_time_is_over_carries_nothing() {
+    let node = Shut::new();
+    let deadline = Duration::from_millis(1_500);
+    let (router, _discovery) = before("late", node.at, deadline);
+    let mut client = router.connect();
+    let since = Instant::now();
+    client.ask("pay", "t1", deadline);
+    router.until("links_opened", 1);
+    router.hold();
+    let mut end = node.open();
+    std::thread::sleep((deadline + Duration::from_millis(1)).saturating_sub(since.elapsed()));
+    router.release();
+    // Nothing was sent: asking again is harmless.
+    assert_eq!(client.answer().0, "HTTP/1.1 503 Service Unavailable");
+    router.end();
+    assert_eq!(end.rest(), b"");
+}
+
+#[test]
+fn the_end_of_a_client_that_sent_much_at_once_is_seen_while_its_query_waits() {
+    let node = Shut::new();
+    let (router, _discovery) = before("much", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("look", "t1", LONG);
+    router.until("links_opened", 1);
+    client.press(&vec![b'x'; 8 << 20]);
+    drop(client);
+    router.until("retrievals_left_by_client", 1);
+    let mut end = node.open();
+    router.end();
+    assert_eq!(end.rest(), b"");
+}
+
+/// A discovery served by the test: the next call's request line, and the connection to answer it on.
+fn call(listener: &TcpListener) -> (String, TcpStream) {
+    let (stream, _) = listener.accept().expect("a call");
+    let mut lines = BufReader::new(stream.try_clone().expect("a connection")).lines();
+    let request = lines.next().expect("a line").expect("a request");
+    (request, stream)
+}
+
+fn told(to: &mut TcpStream, objects: &[Json]) {
+    let text: String = objects.iter().map(|object| format!("{object}\n")).collect();
+    write!(to, "{:x}\r\n{text}\r\n", text.len()).expect("the router reads");
+}
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -2,9 +2,9 @@
 
 use crate::config::{Config, numbered};
 use crate::effects::{Conn, Effect};
-use crate::http::{self, Request};
+use crate::http::{self, MOST_REQUEST, Request};
 use crate::query::Terms;
-use crate::reducer::{Desk, Kind, Router};
+use crate::reducer::{Desk, Kind, Peer, Router};
 use yewpier::{Events, Micros};
 
 /// How long a new connection is left in peace without a request, as the operators state it.
@@ -192,6 +192,11 @@
         let client = self.desk.client(conn);
         match client.hand {
             Hand::Parting => client.hand = Hand::Empty,
+            // Guards against one that sends much at once and goes: its end lies behind what is not read.
+            Hand::Retrieval(_) | Hand::Answer if client.last || bytes.len() >= MOST_REQUEST => {
+                client.last = true;
+                return self.desk.effects.push(Effect::Taken(conn, bytes.len()));
+            }
             Hand::Retrieval(_) | Hand::Answer => return,
             Hand::Leaving => return self.desk.effects.push(Effect::Taken(conn, bytes.len())),
             Hand::Empty | Hand::Begun => {}
@@ -274,6 +279,7 @@
     pub fn client_ended(&mut self, conn: Conn) {
         if let Hand::Retrieval(retrieval) = self.desk.client(conn).hand {
             self.desk.gather.leave(retrieval);
+            self.desk.take_back(retrieval);
             self.desk.counters.retrievals_left_by_client += 1;
             self.balance.client_left(self.desk.now, retrieval);
             self.desk.unsettled = true;
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -16,7 +16,7 @@
     client: Option<Conn>,
     pub until: Micros,
     pub text: Piece,
-    parts: Vec<usize>,
+    pub parts: Vec<usize>,
 }
 
 impl Retrieval {
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -121,6 +121,11 @@
         Left::Unsent
     }
 
+    /// Whether a shot went out here and its frame is known to be written whole.
+    pub fn wrote(&self, shot: ShotId) -> bool {
+        self.out.iter().any(|out| (out.part, out.trial) == shot && out.end <= self.flushed)
+    }
+
     /// The shot out here whose id stands at the beginning of these bytes.
     fn named(&self, bytes: &[u8]) -> Option<ShotId> {
         let begin = &bytes[..bytes.len().min(BEGIN)];
@@ -234,6 +239,17 @@
         if !link.up || link.flushed < link.handed || link.queue.is_empty() {
             return;
         }
+        // Guards against what ran out of time in this very turn: sockets are heard before alarms.
+        let shots: Vec<ShotId> = link.queued().collect();
+        for (part, trial) in shots {
+            if self.gather.parts[part].shots[trial].until <= now {
+                self.give_up(part, trial, Outcome::Unsent);
+            }
+        }
+        let Kind::Link(link) = &mut self.peers[conn].kind else { return };
+        if link.queue.is_empty() {
+            return;
+        }
         let mut pieces: Vec<Piece> = Vec::new();
         for item in link.queue.drain(..) {
             let first = pieces.len();
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -276,6 +276,7 @@
     fn finish(&mut self, retrieval: usize, end: End) {
         let client = self.gather.leave(retrieval);
         must!(self.counters, client.is_some(), "one final answer");
+        self.take_back(retrieval);
         if let Some(conn) = client {
             self.answer(conn, retrieval, end);
         }
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -42,7 +42,11 @@
 
 impl Bench {
     fn new() -> Bench {
-        let config = Config::parse(CONFIG).expect("a configuration");
+        Bench::of(CONFIG)
+    }
+
+    fn of(config: &str) -> Bench {
+        let config = Config::parse(config).expect("a configuration");
         let mut bench = Bench {
             router: Router::new(&config, START),
             now: START,
@@ -232,6 +236,29 @@
     assert_eq!(bench.router.desk.counters.shots_sent, 0);
 }
 
+#[test]
+fn a_connection_that_comes_up_before_the_alarm_of_a_time_that_is_over_carries_nothing() {
+    let mut bench = Bench::new();
+    bench.ask("pay", "t1");
+    let link = bench.links.last().expect("a link").0;
+    // Sockets are heard before alarms: the alarm is due in this turn too.
+    bench.now += 1_500_000;
+    bench.tell(Event::Up(link));
+    assert_eq!((bench.said(link), bench.router.desk.counters.shots_unsent), (String::new(), 2));
+}
+
+#[test]
+fn what_waits_of_a_query_that_has_ended_is_taken_back_where_nothing_may_be_withdrawn() {
+    let config = CONFIG.replace("\"cancelling\":true", "\"cancelling\":false");
+    let mut bench = Bench::of(&config.replace("\"connectTimeoutNs\":250", "\"connectTimeoutNs\":9000"));
+    let client = bench.ask("look", "t1");
+    let link = bench.links.last().expect("a link").0;
+    bench.pass(1_600_000);
+    assert!(bench.said(client).starts_with("HTTP/1.1 503"), "{}", bench.said(client));
+    bench.tell(Event::Up(link));
+    assert_eq!(bench.said(link), "");
+}
+
 #[test]
 fn a_frame_half_written_ends_with_its_connection_when_a_part_is_given_up() {
     let mut bench = Bench::new();
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -110,6 +110,22 @@
         touched.into_iter().for_each(|conn| self.write_link(conn));
     }
 
+    /// Takes back what is not known to be written whole of a query that has ended. Guards against what is sent
+    /// for nobody: on a connection that comes up late, once a socket is free, or behind what a node does not read.
+    pub fn take_back(&mut self, retrieval: usize) {
+        let Some(held) = self.gather.retrievals.get(retrieval) else { return };
+        for part in held.parts.clone() {
+            for trial in 0..self.gather.parts[part].shots.len() {
+                let shot = &self.gather.parts[part].shots[trial];
+                // The connection of one that is over may be another's by now.
+                let (over, conn) = (shot.over, shot.link);
+                if !over && !conn.is_some_and(|conn| self.link(conn).wrote((part, trial))) {
+                    self.give_up(part, trial, Outcome::Unsent);
+                }
+            }
+        }
+    }
+
     /// Stops waiting for a shot. What was not begun is taken back unsent; a frame that stands half written
     /// ends with its connection, since a part must not arrive after its retrieval has ended.
     pub fn give_up(&mut self, part: usize, trial: usize, outcome: Outcome) {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -165,7 +165,12 @@
 
     /// Tells the reducer all that came in, then has it decide once.
     fn turn(&mut self) {
-        for (conn, readiness) in std::mem::take(&mut self.ready) {
+        // Guards against what goes out on a connection that has just come up though its client left, or its node
+        // began to drain, in this very turn: what is up is heard first.
+        let up = |conn: Conn| matches!(self.sockets.get(conn), Some(Some(socket)) if socket.up);
+        let (heard, coming_up): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.ready).into_iter().partition(|ready| up(ready.0));
+        for (conn, readiness) in heard.into_iter().chain(coming_up) {
             self.socket_ready(conn, readiness);
         }
         if std::mem::take(&mut self.knocked) {
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -19,6 +19,8 @@
     /// Calls fail and watches end for as long as it is down.
     down: bool,
     calls: u64,
+    /// How many objects were written to watches.
+    told: u64,
 }
 
 #[derive(Clone)]
@@ -83,6 +85,17 @@
         self.edit(|state| state.down = down);
     }
 
+    /// How many objects were written to watches.
+    pub fn told(&self) -> u64 {
+        self.edit(|state| state.told)
+    }
+
+    /// Waits until so many objects were written.
+    pub fn wait_told(&self, count: u64) {
+        let state = self.shared.0.lock().expect("a lock");
+        drop(self.shared.1.wait_while(state, |state| state.told < count).expect("a lock"));
+    }
+
     /// How many calls were taken, those that failed included.
     pub fn calls(&self) -> u64 {
         self.edit(|state| state.calls)
@@ -136,6 +149,8 @@
             let line =
                 json!({"revision": revision, "complete": false, "members": members}).to_string() + "\n";
             write!(to, "{:x}\r\n{line}\r\n", line.len())?;
+            state.lock().expect("a lock").told += 1;
+            changed.notify_all();
         }
         held = state.lock().expect("a lock");
         if quiet && held.changes.last().is_none_or(|change| change.0 <= told) && !held.down {
