A connection that holds half a frame, or on which a node said N, takes no new call

An answer and nine bytes of another come in one piece; the next query went out on that connection and its answer was read into the unfinished frame (`nobody connects` in the test: no second connection is asked for). The same behind `N`, after which the node closes: what is written in that instant may have run, for all an unsafe class knows. At fault: `link_for` looked at what is out and queued, not at `begun`; `frame` took `N` for a word without consequence. Ruled out: `Effect::Send` finds a close that has come, not one that is about to. Both tests (crates/cli/tests/rare.rs) fail without the mend.

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -108,6 +108,48 @@
     assert_eq!(end.rest(), b"");
 }
 
+#[test]
+fn a_connection_on_which_half_a_frame_rests_is_not_used_again() {
+    let node = Node::new();
+    let (router, _discovery) = before("half", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("pay", "t1", LONG);
+    let mut first = node.accept();
+    assert_eq!(first.frame().0, 'R');
+    let answer = frame(b'Y', "t1.0 OK 5 -\none");
+    first.send(&[&answer[..], &answer[..9]].concat());
+    assert_eq!(client.answer().0, "HTTP/1.1 200 OK");
+    client.ask("pay", "t2", LONG);
+    let mut second = node.accept();
+    assert!(second.frame().1.starts_with("t2.0 "));
+    second.send(&frame(b'Y', "t2.0 OK 5 -\ntwo"));
+    let (status, body) = client.answer();
+    assert!(status == "HTTP/1.1 200 OK" && body.contains("two"), "{status} {body}");
+    drop(client);
+    router.end();
+    assert_eq!(first.rest(), b"");
+}
+
+#[test]
+fn a_node_that_could_not_use_a_frame_gets_no_more_on_that_connection() {
+    let node = Node::new();
+    let (router, _discovery) = before("word", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("pay", "t1", LONG);
+    let mut first = node.accept();
+    assert_eq!(first.frame().0, 'R');
+    first.send(&[frame(b'Y', "t1.0 OK 5 -\none"), frame(b'N', "that was none")].concat());
+    assert_eq!(client.answer().0, "HTTP/1.1 200 OK");
+    client.ask("pay", "t2", LONG);
+    let mut second = node.accept();
+    assert!(second.frame().1.starts_with("t2.0 "));
+    second.send(&frame(b'Y', "t2.0 OK 5 -\ntwo"));
+    assert_eq!(client.answer().0, "HTTP/1.1 200 OK");
+    assert_eq!(first.rest(), b"");
+    drop(client);
+    router.end();
+}
+
 /// A discovery served by the test: the next call's request line, and the connection to answer it on.
 fn call(listener: &TcpListener) -> (String, TcpStream) {
     let (stream, _) = listener.accept().expect("a call");
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -165,7 +165,10 @@
                     || link.queued().any(|(part, _)| self.gather.parts[part].id == *id)
             };
             let rests = link.idle_since();
-            let fits = place.at == Some(link.to)
+            // Guards against an answer that comes behind a frame of which only half has come.
+            let half = rests.is_some() && link.begun.is_some();
+            let fits = !half
+                && place.at == Some(link.to)
                 && !link.worn
                 && rests.is_none_or(|since| now - since < idle)
                 && link.load() + ids.len() <= most
@@ -459,7 +462,10 @@
                 true
             }
             b'N' => {
+                // The node is about to close: what is not out yet goes elsewhere.
                 self.desk.garbled(conn, &String::from_utf8_lossy(rest));
+                self.desk.link(conn).worn = true;
+                self.desk.effects.push(Effect::Break(conn));
                 true
             }
             _ => false,
