A planned end answers all it has taken before the process is killed, and looks once more for clients

SIGKILL follows SIGTERM by the longest deadline (3 s at most) and 0.7 s; a request that came after those 0.7 s and is unanswered then is lost. - a query taken after SIGTERM kept its own deadline, 20 s in the test: its time ends 0.1 s before the kill now (`ends_at`). - half a request was waited for as long as a client may take to send one, `408 Request Timeout` after the kill in the test: it gets 503 (`refuse_unfinished`) in time. - a connection whose answer was being written when the end began closed behind it though the answer's head asks for more: what was read behind the request is taken first (`answer_flushed`, `reply` decides once what the head says). - `Exit` ended the loop though a client might have connected since the listener was last looked at, which the exit would reset: the listener is looked at once more, and the end waits for whom it finds (`turn`). Ruled out by tests that passed before: signals in any order and twice in one turn, SIGTERM before the first list, a request that crosses the close of a resting connection (clean end, not sent on).

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -150,6 +150,49 @@
     router.end();
 }
 
+#[test]
+fn a_request_that_comes_while_the_router_ends_is_answered_before_it_could_be_killed() {
+    let node = Node::new();
+    let (router, _discovery) = before("ends", node.at, LONG);
+    let (mut client, mut slow) = (router.connect(), router.connect());
+    let request = query("pay", "t1", LONG);
+    client.send(&request[..40]);
+    slow.send(&request[..40]);
+    router.until("clients_arrived", 2);
+    router.signal(Signal::TERM);
+    let mut probe = router.connect();
+    probe.send("GET /-/ready HTTP/1.1\r\n\r\n");
+    assert_eq!(probe.answer().0, "HTTP/1.1 503 Service Unavailable");
+    // Its node takes it and hangs; its own time is 20 s, that of the process 3.7 s.
+    let since = Instant::now();
+    client.send(&request[40..]);
+    let mut end = node.accept();
+    assert_eq!(end.frame().0, 'R');
+    assert_eq!(client.answer().0, "HTTP/1.1 502 Bad Gateway");
+    assert_eq!(slow.answer().0, "HTTP/1.1 503 Service Unavailable");
+    assert!(client.rest().is_empty() && slow.rest().is_empty() && probe.rest().is_empty());
+    drop((client, slow, probe));
+    router.ended();
+    assert!(since.elapsed() < LONG / 2);
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_neither_sent_on_nor_reset() {
+    let node = Node::new();
+    let (router, _discovery) = before("rests", node.at, LONG);
+    let mut client = router.connect();
+    client.send("GET /-/healthy HTTP/1.1\r\n\r\n");
+    assert_eq!(client.answer().0, "HTTP/1.1 200 OK");
+    router.signal(Signal::TERM);
+    // The router has shut its side; the client has not seen that yet and asks.
+    assert!(client.rest().is_empty());
+    client.ask("pay", "t1", LONG);
+    assert!(client.rest().is_empty());
+    drop(client);
+    let log = router.ended();
+    assert!(log.contains("retrievals_taken 0\n") && node.is_untouched(), "{log}");
+}
+
 /// A discovery served by the test: the next call's request line, and the connection to answer it on.
 fn call(listener: &TcpListener) -> (String, TcpStream) {
     let (stream, _) = listener.accept().expect("a call");
@@ -196,3 +239,34 @@
     drop(client);
     router.end();
 }
+
+#[test]
+fn signals_may_come_in_any_order_and_more_than_once() {
+    let node = Node::new();
+    let (router, _discovery) = before("signals", node.at, LONG);
+    let mut client = router.connect();
+    client.ask("pay", "t1", LONG);
+    let mut end = node.accept();
+    assert_eq!(end.frame().0, 'R');
+    router.hold();
+    for signal in [Signal::TERM, Signal::HUP, Signal::TERM, Signal::USR1, Signal::INT] {
+        router.signal(signal);
+    }
+    end.send(&frame(b'Y', "t1.0 OK 5 -\none"));
+    router.release();
+    // What came in the turn of the signals is answered as ever.
+    assert_eq!(client.answer().0, "HTTP/1.1 200 OK");
+    assert!(client.rest().is_empty());
+    drop(client);
+    let log = router.ended();
+    assert_eq!(log.matches("told to end").count(), 1, "{log}");
+}
+
+#[test]
+fn a_router_told_to_end_before_its_first_list_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let router = Router::start("first", &config(listener.local_addr().expect("an address"), LONG));
+    let (_, watch) = call(&listener);
+    router.end();
+    drop(watch);
+}
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -46,7 +46,7 @@
     /// Those that arrived and wait for a socket to become free.
     held_back: usize,
     /// The longest patience of any service grade: how long a client may take to send or to read.
-    longest: Micros,
+    pub longest: Micros,
     /// The most retrievals and parts held at a time.
     most_held: Option<usize>,
     terms: Terms,
@@ -126,6 +126,13 @@
         idle.into_iter().for_each(|conn| self.leave(conn));
     }
 
+    /// Answers what has not come in whole by the end of a planned end.
+    pub fn refuse_unfinished(&mut self) {
+        let begun = |peer: &Peer| matches!(&peer.kind, Kind::Client(client) if client.hand == Hand::Begun);
+        let begun: Vec<Conn> = self.peers.iter().filter(|(_, peer)| begun(peer)).map(|x| x.0).collect();
+        begun.into_iter().for_each(|conn| self.say(conn, 503, "ending"));
+    }
+
     pub fn client_alarm(&mut self, conn: Conn) {
         let hand = self.client(conn).hand;
         match hand {
@@ -144,16 +151,18 @@
     }
 
     pub fn answer_flushed(&mut self, conn: Conn) {
-        let (stopping, now) = (self.stopping, self.now);
+        let now = self.now;
         let client = self.client(conn);
         if client.hand != Hand::Answer {
             return;
         }
-        if client.last || stopping {
+        if client.last {
             return self.leave(conn);
         }
         (client.hand, client.since, client.loose) = (Hand::Empty, now, true);
-        self.wake_at(conn, None);
+        // Guards against a planned end that began behind this answer's head, which asks for more: what was read
+        // behind the request is taken before the connection is left.
+        self.wake_at(conn, self.closing.then_some(now));
         self.effects.push(Effect::Read(conn));
         self.thin_out();
     }
@@ -175,8 +184,8 @@
         let (stopping, longest, now) = (self.stopping, self.clients.longest, self.now);
         let client = self.client(conn);
         client.hand = Hand::Answer;
-        let last = client.last || stopping;
-        let head = http::head(status, kind, body.len(), advice.map(|wait| wait as f64 / 1e6), last);
+        client.last |= stopping;
+        let head = http::head(status, kind, body.len(), advice.map(|wait| wait as f64 / 1e6), client.last);
         self.effects.push(Effect::Write(conn, vec![head.into_bytes().into(), body.into()]));
         self.wake_at(conn, Some(now + longest));
     }
@@ -205,7 +214,8 @@
             Ok(None) => {
                 if client.hand == Hand::Empty && !bytes.is_empty() {
                     client.hand = Hand::Begun;
-                    self.desk.wake_at(conn, Some(now + longest));
+                    let ends_at = self.desk.ends_at.unwrap_or(Micros::MAX);
+                    self.desk.wake_at(conn, Some(ends_at.min(now + longest)));
                 }
                 if http::waits(bytes) {
                     let word = b"HTTP/1.1 100 Continue\r\n\r\n"[..].into();
@@ -263,6 +273,7 @@
             return desk.say(conn, 503, "too many retrievals are in hand");
         }
         let (now, until) = (desk.now, desk.now + query.patience);
+        let until = desk.ends_at.map_or(until, |at| at.min(until));
         desk.counters.retrievals_taken += 1;
         let retrieval = desk.gather.open(request.id, conn, until, query.text);
         desk.client(conn).hand = Hand::Retrieval(retrieval);
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -22,6 +22,11 @@
 const MOST_PARTING: usize = OTHER_FILES / 2;
 /// How long new connections keep coming after a planned end has begun, with the protocol's slack.
 const STILL_COMING: Micros = 450_000;
+/// A process is killed this long after a planned end has begun and the longest deadline, which counts for so
+/// much at most; before that, what is left is answered, with twice the protocol's slack.
+const KILLED_AFTER: Micros = 700_000;
+const LONGEST_COUNTED: Micros = 3_000_000;
+const BEFORE_KILL: Micros = 100_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
@@ -31,6 +36,7 @@
     Probe(Conn),
     Watch,
     Stop,
+    LastAnswer,
 }
 
 #[derive(Debug)]
@@ -69,6 +75,8 @@
     /// The planned end has begun; new connections no longer come.
     pub stopping: bool,
     pub closing: bool,
+    /// By when all is answered once a planned end has begun.
+    pub ends_at: Option<Micros>,
     pub most_peers: usize,
     timer: Option<Micros>,
 }
@@ -96,6 +104,7 @@
             tick: config.micros("tick_us"),
             stopping: false,
             closing: false,
+            ends_at: None,
             most_peers: config.sockets.saturating_sub(OTHER_FILES).max(1),
             timer: None,
         };
@@ -151,6 +160,7 @@
                 Alarm::Probe(conn) => self.probe_overdue(conn),
                 Alarm::Watch => self.desk.watch(true),
                 Alarm::Stop => self.desk.close_idle_clients(),
+                Alarm::LastAnswer => self.desk.refuse_unfinished(),
                 Alarm::Peer(conn) => {
                     self.desk.peers[conn].alarm = None;
                     match self.desk.peers[conn].kind {
@@ -185,10 +195,15 @@
         let desk = &mut self.desk;
         desk.write_calls();
         desk.adopt();
-        if desk.closing && desk.clients_open() == 0 {
-            desk.effects.push(Effect::Exit);
-        }
         desk.set_wake();
+        if self.may_end() {
+            self.desk.effects.push(Effect::Exit);
+        }
+    }
+
+    /// Whether a planned end has nothing left to wait for.
+    pub fn may_end(&self) -> bool {
+        self.desk.closing && self.desk.clients_open() == 0
     }
 }
 
@@ -261,7 +276,10 @@
     fn terminate(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
             tracing::info!("told to end, {} retrievals and parts in hand", self.gather.open);
+            let killed_at = self.now + KILLED_AFTER + self.clients.longest.min(LONGEST_COUNTED);
+            self.ends_at = Some(killed_at - BEFORE_KILL);
             self.timers.insert((self.now + STILL_COMING, Alarm::Stop));
+            self.timers.insert((killed_at - BEFORE_KILL, Alarm::LastAnswer));
         }
     }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -90,6 +90,8 @@
     signals: Vec<Signal>,
     timer: Option<Micros>,
     scratch: Vec<u8>,
+    /// The router has asked for the end, and that end has come.
+    ending: bool,
     done: bool,
 }
 
@@ -135,6 +137,7 @@
         signals: Vec::new(),
         timer: None,
         scratch: vec![0; MOST_BODY],
+        ending: false,
         done: false,
     };
     server.settle();
@@ -187,6 +190,11 @@
             self.tell(Event::Alarm);
         }
         self.settle();
+        // Guards against a client that connected since the listener was last looked at: the end would reset it.
+        if std::mem::take(&mut self.ending) {
+            self.accept();
+            self.done = self.router.may_end();
+        }
         if !self.listens && self.arrived.is_empty() && self.clock.now() >= self.accepts_at {
             self.listens = self.handle.enable(&self.listening).is_ok();
         }
@@ -315,7 +323,7 @@
             Effect::Break(conn) => self.fail(conn),
             Effect::Timer(at) => self.timer = at,
             Effect::Report(lines) => print(&lines),
-            Effect::Exit => self.done = true,
+            Effect::Exit => self.ending = true,
         }
     }
 
