Requests that are never whole hold a quarter of the memory at most; the memory's limit is read

`limits.memory_mb` is read (absent: no such bound). A client whose bytes come on top of a quarter of it gets 503 if its request is not whole, and a clean close; what a client sends behind a request that is being served is dropped then, and its connection closed after the answer. Whole requests pass. Counter `requests_over_memory`. Ruled out: answers that are not read (closed after the longest deadline), `100 Continue` (said once, when the head alone is in), frames of nodes (65 KiB a connection), lists (2 MiB, one call at a time). Test with real connections: 18 clients begin 60 KB each of 4 MB; one gets 503, a whole query and the 17 others are answered.

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -270,3 +270,42 @@
     router.end();
     drop(watch);
 }
+
+#[test]
+fn requests_that_are_never_whole_leave_the_memory_to_others() {
+    let node = Node::new();
+    let discovery = one(node.at);
+    let mut config = config(discovery.at, LONG);
+    config["limits"]["memory_mb"] = 4.into();
+    let router = Router::start("sum", &config);
+    router.until("lists_whole", 2);
+    // Each within its own bound; 18 of them make over a quarter of the memory.
+    let begin = format!("POST /api HTTP/1.1\r\nContent-Length: 61000\r\n\r\n{}", "x".repeat(60_000));
+    let mut clients: Vec<_> = (0..18).map(|_| router.connect()).collect();
+    router.until("clients_arrived", 18);
+    clients.iter_mut().for_each(|client| client.send(&begin));
+    router.until("requests_over_memory", 1);
+    let refused = loop {
+        if let Some(at) = clients.iter().position(|client| client.has_answer()) {
+            break at;
+        }
+        std::thread::yield_now();
+    };
+    let mut refused = clients.remove(refused);
+    assert_eq!(refused.answer().0, "HTTP/1.1 503 Service Unavailable");
+    assert!(refused.rest().is_empty());
+    let mut other = router.connect();
+    other.ask("pay", "t1", LONG);
+    let mut end = node.accept();
+    assert_eq!(end.frame().0, 'R');
+    end.send(&frame(b'Y', "t1.0 OK 5 -\none"));
+    assert_eq!(other.answer().0, "HTTP/1.1 200 OK");
+    // The others were held as they came, to their end.
+    for client in &mut clients {
+        client.send(&"x".repeat(1_000));
+        assert_eq!(client.answer().0, "HTTP/1.1 400 Bad Request");
+    }
+    assert_eq!(router.counter("requests_over_memory"), 1);
+    drop((clients, refused, other));
+    router.end();
+}
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -153,6 +153,15 @@
         (status.trim().to_string(), String::from_utf8(body).expect("text"))
     }
 
+    /// Whether something has come that was not read.
+    pub fn has_answer(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).expect("a mode");
+        let came = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).expect("a mode");
+        came.is_ok()
+    }
+
     /// What still comes until the router closes; a reset is no clean close.
     pub fn rest(&mut self) -> String {
         let mut rest = String::new();
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -11,6 +11,8 @@
 const SILENT: Micros = 2_000_000;
 /// How long a connection that was closed gently is still read.
 const LINGER: Micros = 1_000_000;
+/// What of the memory may be taken up by what came of requests that are not whole: one part of so many.
+const UNTAKEN: usize = 4;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Hand {
@@ -34,6 +36,8 @@
     loose: bool,
     /// It is closed after the answer in hand.
     last: bool,
+    /// How many bytes came on it that are not taken.
+    untaken: usize,
 }
 
 impl Client {
@@ -47,6 +51,9 @@
     held_back: usize,
     /// The longest patience of any service grade: how long a client may take to send or to read.
     pub longest: Micros,
+    /// How many bytes came of all clients that are not taken, and how many there may be.
+    untaken: usize,
+    most_untaken: usize,
     /// The most retrievals and parts held at a time.
     most_held: Option<usize>,
     terms: Terms,
@@ -60,6 +67,8 @@
         Clients {
             held_back: 0,
             longest: patience.max().unwrap_or(0),
+            untaken: 0,
+            most_untaken: config.memory.map_or(usize::MAX, |most| most / UNTAKEN),
             most_held: settings.number("limits.held").map(|most| most as usize).filter(|&most| most > 0),
             terms: Terms {
                 grades,
@@ -81,7 +90,7 @@
     /// Takes on those that arrived, as far as there are sockets.
     pub fn adopt(&mut self) {
         while self.clients.held_back > 0 {
-            let client = Client { hand: Hand::Empty, since: self.now, loose: false, last: false };
+            let client = Client { hand: Hand::Empty, since: self.now, loose: false, last: false, untaken: 0 };
             let Some(conn) = self.open(Kind::Client(client)) else { return };
             self.clients.held_back -= 1;
             self.effects.push(Effect::Adopt(conn));
@@ -113,6 +122,24 @@
         self.effects.push(Effect::Part(conn));
     }
 
+    /// So many bytes of what came on a connection stand untaken now. Guards against many requests that begin and are
+    /// never whole, or stand behind others, each within its own bound and together beyond the memory.
+    fn hold(&mut self, conn: Conn, count: usize) {
+        let before = std::mem::replace(&mut self.client(conn).untaken, count);
+        self.clients.untaken = self.clients.untaken - before + count;
+    }
+
+    fn taken(&mut self, conn: Conn, count: usize) {
+        let left = self.client(conn).untaken.saturating_sub(count);
+        self.hold(conn, left);
+        self.effects.push(Effect::Taken(conn, count));
+    }
+
+    /// Its untaken bytes are no more.
+    pub fn let_go_of(&mut self, client: &Client) {
+        self.clients.untaken -= client.untaken;
+    }
+
     /// Closes between requests so that one which crosses the close meets no reset: its client asks again.
     fn leave(&mut self, conn: Conn) {
         self.client(conn).hand = Hand::Leaving;
@@ -198,19 +225,27 @@
 impl Router {
     pub fn client_received(&mut self, conn: Conn, bytes: &[u8]) {
         let (now, longest) = (self.desk.now, self.desk.clients.longest);
+        self.desk.hold(conn, bytes.len());
+        let crowded = self.desk.clients.untaken > self.desk.clients.most_untaken;
         let client = self.desk.client(conn);
         match client.hand {
             Hand::Parting => client.hand = Hand::Empty,
             // Guards against one that sends much at once and goes: its end lies behind what is not read.
-            Hand::Retrieval(_) | Hand::Answer if client.last || bytes.len() >= MOST_REQUEST => {
+            Hand::Retrieval(_) | Hand::Answer if client.last || crowded || bytes.len() >= MOST_REQUEST => {
                 client.last = true;
-                return self.desk.effects.push(Effect::Taken(conn, bytes.len()));
+                return self.desk.taken(conn, bytes.len());
             }
             Hand::Retrieval(_) | Hand::Answer => return,
-            Hand::Leaving => return self.desk.effects.push(Effect::Taken(conn, bytes.len())),
+            Hand::Leaving => return self.desk.taken(conn, bytes.len()),
             Hand::Empty | Hand::Begun => {}
         }
         match http::request(bytes) {
+            Ok(None) if crowded => {
+                client.last = true;
+                self.desk.counters.requests_over_memory += 1;
+                self.desk.taken(conn, bytes.len());
+                self.desk.say(conn, 503, "too much has come of requests that are not whole");
+            }
             Ok(None) => {
                 if client.hand == Hand::Empty && !bytes.is_empty() {
                     client.hand = Hand::Begun;
@@ -224,13 +259,13 @@
             }
             Ok(Some(request)) => {
                 client.last = request.last;
-                self.desk.effects.push(Effect::Taken(conn, request.length));
+                self.desk.taken(conn, request.length);
                 self.desk.wake_at(conn, None);
                 self.request(conn, &request);
             }
             Err((status, why)) => {
                 client.last = true;
-                self.desk.effects.push(Effect::Taken(conn, bytes.len()));
+                self.desk.taken(conn, bytes.len());
                 self.desk.counters.requests_bad += 1;
                 self.desk.say(conn, status, why);
             }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -1,5 +1,8 @@
 //! The configuration that the platform hands to a router at its start.
 
+#[cfg(test)]
+mod tests;
+
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use yewpier::{Micros, Settings};
@@ -13,6 +16,8 @@
     pub seed: u64,
     /// The most file descriptors that the process may hold.
     pub sockets: usize,
+    /// The most memory that it may take, in bytes, where that is stated.
+    pub memory: Option<usize>,
     /// The list of data nodes as last held, in discovery's form.
     pub known: Json,
     pub settings: Settings,
@@ -50,6 +55,16 @@
             return Err("known.members: it is not a list".to_string());
         }
         let sockets = field("/limits/sockets")?;
+        let memory = match field("/limits/memory_mb") {
+            Ok(most) => {
+                let most = most
+                    .as_u64()
+                    .filter(|&mb| mb > 0)
+                    .ok_or("limits/memory_mb: it is not a positive whole number")?;
+                Some((most as usize).saturating_mul(1 << 20))
+            }
+            Err(_) => None,
+        };
         let config = Config {
             name: text("/name")?.to_string(),
             listen: address("/listen")?,
@@ -57,6 +72,7 @@
             seed: u64::from_str_radix(seed, 16)
                 .map_err(|_| format!("seed: '{seed}' is not 16 hex digits"))?,
             sockets: sockets.as_u64().ok_or("limits/sockets: it is not a whole number")? as usize,
+            memory,
             known,
             settings,
         };
@@ -68,7 +84,7 @@
         let same = [
             ("name", self.name == newer.name),
             ("listen", self.listen == newer.listen),
-            ("limits", self.sockets == newer.sockets),
+            ("limits", (self.sockets, self.memory) == (newer.sockets, newer.memory)),
             ("settings", self.settings == newer.settings),
         ];
         same.into_iter().filter(|field| !field.1).map(|field| field.0).collect()
@@ -117,36 +133,3 @@
         self.settings.number(name).unwrap_or(0.0) as usize
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_a_configuration_lacks_is_named() {
-        let whole = serde_json::json!({"name": "r0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
-            "seed": "8c1f30d27a5be964", "limits": {"sockets": 64}, "known": {"members": []},
-            "settings": {"services": [{"name": "look", "idempotency": "read_like", "deadlineNs": 1e9}],
-                "familyInfo": {"sets": 1, "shards": 1, "width": 1, "bundleMax": 1},
-                "ceilings": {"maxStreams": 1, "connectTimeoutNs": 1e6, "idleCloseNs": 1e9}}});
-        let config = Config::parse(&whole.to_string()).expect("fit to serve");
-        assert_eq!((config.seed, config.sockets), (0x8c1f30d27a5be964, 64));
-        for (path, value, names) in [
-            ("/name", Json::Null, "name"),
-            ("/listen", "nowhere".into(), "listen"),
-            ("/seed", "xyz".into(), "seed"),
-            ("/known/members", 3.into(), "known.members"),
-            ("/limits/sockets", "many".into(), "limits/sockets"),
-            ("/settings/services/0/deadlineNs", 0.into(), "deadlineNs"),
-            ("/settings/services/0/idempotency", "idempotency_key".into(), "idempotency_key"),
-            ("/settings/familyInfo/shards", Json::Null, "familyInfo.shards"),
-            ("/settings", 1.into(), "settings"),
-        ] {
-            let mut bad = whole.clone();
-            *bad.pointer_mut(path).expect("a field") = value;
-            let why = Config::parse(&bad.to_string()).expect_err(path);
-            assert!(why.contains(names), "{path}: {why}");
-        }
-        assert!(Config::parse("{").is_err());
-    }
-}
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -23,6 +23,7 @@
     clients_held_back,
     clients_turned_loose,
     requests_bad,
+    requests_over_memory,
     retrievals_taken,
     retrievals_over_limit,
     retrievals_left_by_client,
--- a/crates/router/src/reducer.rs
+++ b/crates/router/src/reducer.rs
@@ -274,7 +274,9 @@
     /// Forgets a connection and has it closed.
     pub fn close(&mut self, conn: Conn) {
         self.wake_at(conn, None);
-        self.peers.remove(conn);
+        if let Kind::Client(client) = self.peers.remove(conn).kind {
+            self.let_go_of(&client);
+        }
         self.effects.push(Effect::Close(conn));
     }
 
