--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -333,12 +333,12 @@
                     rds::route_action::ClusterSpecifier::WeightedClusters(weighted)
                 };
                 let action = match grade.effect.as_str() {
-                    "receipted" => refusal(501, "a receipted grade: its receipts can't be kept by a proxy\n"),
+                    "keyed" => refusal(501, "a keyed grade: its keys can't be kept by a proxy\n"),
                     effect => rds::route::Action::Route(rds::RouteAction {
                         cluster_specifier: Some(specifier),
                         // What comes after the agreed time and pays nothing is given up there, as in a router.
                         timeout: duration(if grade.pays_late { grade.patience } else { grade.agreed }),
-                        retry_policy: Some(retries(site, grade.agreed, effect == "pure")),
+                        retry_policy: Some(retries(site, grade.agreed, effect == "safe")),
                         cluster_not_found_response_code:
                             rds::route_action::ClusterNotFoundResponseCode::ServiceUnavailable as i32,
                         ..Default::default()
@@ -431,8 +431,8 @@
 
 /// Another try on proof that the first never ran: no connection came about, or the stream was refused (RFC 9113,
 /// 8.7). What may be repeated is tried again after any failure, and after half the agreed time.
-fn retries(site: &Site, agreed: Micros, pure: bool) -> rds::RetryPolicy {
-    let on = if pure { "connect-failure,refused-stream,reset,5xx" } else { "connect-failure,refused-stream" };
+fn retries(site: &Site, agreed: Micros, safe: bool) -> rds::RetryPolicy {
+    let on = if safe { "connect-failure,refused-stream,reset,5xx" } else { "connect-failure,refused-stream" };
     let other = Any {
         type_url: "type.googleapis.com/envoy.extensions.retry.host.previous_hosts.v3.PreviousHostsPredicate"
             .into(),
@@ -445,7 +445,7 @@
     rds::RetryPolicy {
         retry_on: on.to_string(),
         num_retries: figure(site.shots.saturating_sub(1)),
-        per_try_timeout: if pure { duration(agreed / 2) } else { None },
+        per_try_timeout: if safe { duration(agreed / 2) } else { None },
         retry_host_predicate: vec![previous],
         host_selection_retry_max_attempts: site.shots as i64,
         ..Default::default()
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -141,10 +141,10 @@
             effects: Vec::new(),
         };
         control.list(now, &config.known, Listing::Disk);
-        for grade in control.site.grades.iter().filter(|grade| grade.effect == "receipted") {
+        for grade in control.site.grades.iter().filter(|grade| grade.effect == "keyed") {
             tracing::warn!(
                 grade = grade.name,
-                "receipted: proxies refuse it, its receipts can't be kept by them"
+                "keyed: proxies refuse it, its keys can't be kept by them"
             );
         }
         control
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -102,7 +102,7 @@
                 return Err(format!("settings.services: {name}: deadlineNs is missing or not positive"));
             }
             // Without the client's mark a node can't tell a repeat, and the protocol names no way to send it.
-            if settings.text(&format!("grade.{i}.effect")) == "receipted" {
+            if settings.text(&format!("grade.{i}.effect")) == "keyed" {
                 return Err(format!("settings.services: {name}: idempotency_key is not served"));
             }
             if settings.number(&format!("grade.{i}.second_step")).is_some_and(|n| n >= 1.0) {
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -207,7 +207,7 @@
 
 #[test]
 fn what_was_not_written_whole_never_ran_and_the_rest_may_have() {
-    // An effectful part goes out again only on proof that it never ran.
+    // An unsafe part goes out again only on proof that it never ran.
     for (grade, unwritten, status) in [("pay", 1, None), ("pay", 0, Some("502")), ("look", 0, Some("503"))] {
         let mut bench = Bench::new();
         let client = bench.ask(grade, "t1");
--- a/crates/terms/src/names.rs
+++ b/crates/terms/src/names.rs
@@ -85,9 +85,9 @@
 ];
 
 const WORDS: &[(&str, &str)] = &[
-    ("read_like", "pure"),
-    ("idempotency_key", "receipted"),
-    ("non_idempotent", "effectful"),
+    ("read_like", "safe"),
+    ("idempotency_key", "keyed"),
+    ("non_idempotent", "unsafe"),
     ("request", "retrieval"),
     ("piggyback", "answers"),
     ("pull", "probes"),
@@ -199,7 +199,7 @@
         let got = settings(&serde_json::from_str(json).expect("JSON")).expect("an object");
         assert_eq!(got.number("tick_us"), Some(5000.0));
         assert_eq!(got.number("grade.0.agreed_us"), Some(1.0));
-        assert_eq!((got.text("grade.0.effect"), got.text("list.mode")), ("pure", "asked"));
+        assert_eq!((got.text("grade.0.effect"), got.text("list.mode")), ("safe", "asked"));
         assert!(got.flag("limits.probes") && got.0.len() == 5);
         assert!(settings(&Json::Array(Vec::new())).is_err());
     }
--- a/examples/settle.rs
+++ b/examples/settle.rs
@@ -42,7 +42,7 @@
     ] {
         settings.set(name, Value::Number(value));
     }
-    settings.set("grade.0.effect", Value::Text("pure".into()));
+    settings.set("grade.0.effect", Value::Text("safe".into()));
     let (mut router, mut fleet) = (Balance::new(1, settings), Fleet::default());
     let start = 1_000_000_000;
     router.list_begins(start, Listing::Whole);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -148,7 +148,7 @@
     fn doom(&self, r: usize) -> Step {
         let held = self.book.held(r);
         let ran = held.parts.iter().any(|&p| self.book.part(p).may_have_run.is_some());
-        let harmless = !ran || self.grades[held.grade].effect == Effect::Pure;
+        let harmless = !ran || self.grades[held.grade].effect == Effect::Safe;
         let wait = held.admitted.is_none() as Micros * self.site.stay_away;
         Step::End(if harmless { End::Deferred(wait) } else { End::GivenUp })
     }
@@ -363,10 +363,10 @@
             return 0;
         }
         let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade, n));
-        // An effectful part gets no other shot: its first choice breaks off less than a tenth of what it begins.
+        // An unsafe part gets no other shot: its first choice breaks off less than a tenth of what it begins.
         let doubt = node.in_doubt(grade);
         let proven = !doubt && node.lost(now - RECENT) < 0.1;
-        let wanting = !proven && self.grades[grade].effect == Effect::Effectful;
+        let wanting = !proven && self.grades[grade].effect == Effect::Unsafe;
         if overdue || wanting || doubt && !node.out.is_empty() { OPEN } else { SOUND }
     }
 
@@ -533,8 +533,8 @@
         let grade = &self.grades[grade];
         match (self.book.part(p).may_have_run, grade.effect) {
             (None, _) => !copy,
-            (Some(first), Effect::Receipted) => now < first + grade.repeat - self.margin(),
-            (_, effect) => effect == Effect::Pure,
+            (Some(first), Effect::Keyed) => now < first + grade.repeat - self.margin(),
+            (_, effect) => effect == Effect::Safe,
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,18 +6,18 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Pure,
-    Receipted,
-    Effectful,
+    Safe,
+    Keyed,
+    Unsafe,
 }
 
 impl Effect {
     /// The kind under its name; an unknown one is taken for the strictest.
     pub fn named(name: &str) -> Self {
         match name {
-            "pure" => Effect::Pure,
-            "receipted" => Effect::Receipted,
-            _ => Effect::Effectful,
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed,
+            _ => Effect::Unsafe,
         }
     }
 }
