--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -337,7 +337,7 @@
                     effect => rds::route::Action::Route(rds::RouteAction {
                         cluster_specifier: Some(specifier),
                         // What comes after the agreed time and pays nothing is given up there, as in a router.
-                        timeout: duration(if grade.pays_late { grade.patience } else { grade.agreed }),
+                        timeout: duration(if grade.pays_late { grade.deadline } else { grade.agreed }),
                         retry_policy: Some(retries(site, grade.agreed, effect == "safe")),
                         cluster_not_found_response_code:
                             rds::route_action::ClusterNotFoundResponseCode::ServiceUnavailable as i32,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -142,10 +142,7 @@
         };
         control.list(now, &config.known, Listing::Disk);
         for grade in control.site.grades.iter().filter(|grade| grade.effect == "keyed") {
-            tracing::warn!(
-                grade = grade.name,
-                "keyed: proxies refuse it, its keys can't be kept by them"
-            );
+            tracing::warn!(grade = grade.name, "keyed: proxies refuse it, its keys can't be kept by them");
         }
         control
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -147,7 +147,7 @@
     pub name: String,
     pub effect: String,
     pub agreed: Micros,
-    pub patience: Micros,
+    pub deadline: Micros,
     pub pays_late: bool,
 }
 
@@ -169,12 +169,12 @@
         let whole = |name: &str| number(name, 1.0).max(1.0) as usize;
         let grades = numbered(settings, "grade").into_iter().enumerate().map(|(i, name)| {
             let of = |name: &str| format!("grade.{i}.{name}");
-            let patience = number(&of("patience_us"), 0.0) as Micros;
+            let deadline = number(&of("deadline_us"), 0.0) as Micros;
             Grade {
                 name,
                 effect: settings.text(&of("effect")).to_string(),
-                agreed: settings.number(&of("agreed_us")).map_or(patience, |t| t as Micros),
-                patience,
+                agreed: settings.number(&of("agreed_us")).map_or(deadline, |t| t as Micros),
+                deadline,
                 pays_late: number(&of("late_share"), 0.0) > 0.0,
             }
         });
--- a/crates/control/tests/loopback.rs
+++ b/crates/control/tests/loopback.rs
@@ -289,9 +289,9 @@
     let third = signed(&["control", "p"]);
     write(&third);
     let later = Proxy::new(service.at, script("p", &third));
-    let patience = Instant::now();
+    let since = Instant::now();
     while later.channel().await.is_err() {
-        assert!(patience.elapsed() < Duration::from_secs(20), "the files were not read anew");
+        assert!(since.elapsed() < Duration::from_secs(20), "the files were not read anew");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     discovery.tell(vec![entry(1, 4, "draining", 0)]);
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -49,7 +49,7 @@
 pub struct Clients {
     /// Those that arrived and wait for a socket to become free.
     held_back: usize,
-    /// The longest patience of any service grade: how long a client may take to send or to read.
+    /// The longest deadline of any service grade: how long a client may take to send or to read.
     pub longest: Micros,
     /// How many bytes came of all clients that are not taken, and how many there may be.
     untaken: usize,
@@ -63,10 +63,10 @@
     pub fn new(config: &Config) -> Clients {
         let settings = &config.settings;
         let grades = numbered(settings, "grade");
-        let patience = (0..grades.len()).map(|g| config.micros(&format!("grade.{g}.patience_us")));
+        let deadline = (0..grades.len()).map(|g| config.micros(&format!("grade.{g}.deadline_us")));
         Clients {
             held_back: 0,
-            longest: patience.max().unwrap_or(0),
+            longest: deadline.max().unwrap_or(0),
             untaken: 0,
             most_untaken: config.memory.map_or(usize::MAX, |most| most / UNTAKEN),
             most_held: settings.number("limits.held").map(|most| most as usize).filter(|&most| most > 0),
@@ -307,7 +307,7 @@
             desk.counters.retrievals_over_limit += 1;
             return desk.say(conn, 503, "too many retrievals are in hand");
         }
-        let (now, until) = (desk.now, desk.now + query.patience);
+        let (now, until) = (desk.now, desk.now + query.deadline);
         let until = desk.ends_at.map_or(until, |at| at.min(until));
         desk.counters.retrievals_taken += 1;
         let retrieval = desk.gather.open(request.id, conn, until, query.text);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -98,7 +98,7 @@
             return Err("settings.services: no service grade is named".to_string());
         }
         for (i, name) in grades.iter().enumerate() {
-            if settings.number(&format!("grade.{i}.patience_us")).is_none_or(|t| t <= 0.0) {
+            if settings.number(&format!("grade.{i}.deadline_us")).is_none_or(|t| t <= 0.0) {
                 return Err(format!("settings.services: {name}: deadlineNs is missing or not positive"));
             }
             // Without the client's mark a node can't tell a repeat, and the protocol names no way to send it.
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -21,7 +21,7 @@
     pub id: &'a str,
     pub grade: &'a str,
     pub tenant: &'a str,
-    pub patience: &'a str,
+    pub deadline: &'a str,
     pub again: bool,
     /// The client will not use the connection again.
     pub last: bool,
@@ -171,7 +171,7 @@
             name if name.eq_ignore_ascii_case("x-trace-id") => request.id = text,
             name if name.eq_ignore_ascii_case("x-qos") => request.grade = text,
             name if name.eq_ignore_ascii_case("x-customer") => request.tenant = text,
-            name if name.eq_ignore_ascii_case("x-expires-in-ms") => request.patience = text,
+            name if name.eq_ignore_ascii_case("x-expires-in-ms") => request.deadline = text,
             name if name.eq_ignore_ascii_case("x-second-try") => request.again = text == "1",
             name if name.eq_ignore_ascii_case("connection") => {
                 request.last =
--- a/crates/router/src/query.rs
+++ b/crates/router/src/query.rs
@@ -15,7 +15,7 @@
 pub struct Query {
     pub grade: usize,
     pub tenant: usize,
-    pub patience: Micros,
+    pub deadline: Micros,
     pub segments: Vec<Segment>,
     pub text: String,
 }
@@ -38,9 +38,9 @@
         let grade = known(&self.grades, request.grade).ok_or("X-Qos names no known service grade")?;
         let tenant = if self.tenants.is_empty() { Some(0) } else { known(&self.tenants, request.tenant) };
         let tenant = tenant.ok_or("X-Customer names no known customer")?;
-        let digits = request.patience.bytes().all(|b| b.is_ascii_digit());
-        let patience: Option<u32> = request.patience.parse().ok().filter(|&ms| ms > 0 && digits);
-        let patience = patience.ok_or("X-Expires-In-Ms is missing or not a positive whole number")?;
+        let digits = request.deadline.bytes().all(|b| b.is_ascii_digit());
+        let deadline: Option<u32> = request.deadline.parse().ok().filter(|&ms| ms > 0 && digits);
+        let deadline = deadline.ok_or("X-Expires-In-Ms is missing or not a positive whole number")?;
         let json: Json = serde_json::from_slice(&request.body).map_err(|_| "the body is not JSON")?;
         let list = json["segments"].as_array().filter(|list| !list.is_empty());
         let mut segments: Vec<Segment> = Vec::new();
@@ -65,7 +65,7 @@
             return Err("the segments' boosts do not add up to 1");
         }
         let text = json["text"].as_str().ok_or("text is missing or not a text")?.to_string();
-        Ok(Query { grade, tenant, patience: Micros::from(patience) * 1000, segments, text })
+        Ok(Query { grade, tenant, deadline: Micros::from(deadline) * 1000, segments, text })
     }
 }
 
@@ -73,10 +73,10 @@
 mod tests {
     use super::*;
 
-    fn query(patience: &str, body: &str) -> Result<Query, &'static str> {
+    fn query(deadline: &str, body: &str) -> Result<Query, &'static str> {
         let terms = Terms { grades: vec!["look".into(), "pay".into()], tenants: Vec::new(), shards: 4 };
         let body = body.as_bytes().into();
-        terms.query(&Request { id: "t1", grade: "pay", patience, body, ..Default::default() })
+        terms.query(&Request { id: "t1", grade: "pay", deadline, body, ..Default::default() })
     }
 
     #[test]
@@ -84,13 +84,13 @@
         let body = r#"{"segments":[{"segment":3,"boost":0.25,"work":9000,"affinity":"0f"},
             {"segment":0,"boost":0.75}],"text":"c4\u00e9","new":1}"#;
         let (segments, text) = (vec![(3, 0.25, 9000), (0, 0.75, 0)], "c4é".to_string());
-        assert_eq!(query("480", body), Ok(Query { grade: 1, tenant: 0, patience: 480_000, segments, text }));
+        assert_eq!(query("480", body), Ok(Query { grade: 1, tenant: 0, deadline: 480_000, segments, text }));
     }
 
     #[test]
     fn what_a_query_lacks_is_named() {
         let body = |segments: &str| format!(r#"{{"segments":[{segments}],"text":"x"}}"#);
-        for (patience, body, names) in [
+        for (deadline, body, names) in [
             ("", body(r#"{"segment":1,"boost":1}"#), "X-Expires-In-Ms"),
             ("-5", body(r#"{"segment":1,"boost":1}"#), "X-Expires-In-Ms"),
             ("0", body(r#"{"segment":1,"boost":1}"#), "X-Expires-In-Ms"),
@@ -107,7 +107,7 @@
             ("9", body(r#"{"segment":1,"boost":1,"work":"x"}"#), "work"),
             ("9", r#"{"segments":[{"segment":1,"boost":1}]}"#.to_string(), "text"),
         ] {
-            let why = query(patience, &body).expect_err(&body);
+            let why = query(deadline, &body).expect_err(&body);
             assert!(why.contains(names), "{body}: {why}");
         }
     }
--- a/crates/terms/src/names.rs
+++ b/crates/terms/src/names.rs
@@ -64,7 +64,7 @@
     ("scoringMix.worstWindow", "weight.worst_window"),
     ("serviceType", "service_type"),
     ("services.#.aimStretch", "grade.#.agreed_stretch"),
-    ("services.#.deadlineNs", "grade.#.patience_us"),
+    ("services.#.deadlineNs", "grade.#.deadline_us"),
     ("services.#.dedupWindowNs", "grade.#.repeat_us"),
     ("services.#.group", "grade.#.repeat_group"),
     ("services.#.idempotency", "grade.#.effect"),
--- a/examples/settle.rs
+++ b/examples/settle.rs
@@ -38,7 +38,7 @@
         ("limits.shots", 3.0),
         ("tick_us", TICK as f64),
         ("grade.0.agreed_us", 3e5),
-        ("grade.0.patience_us", 1e6),
+        ("grade.0.deadline_us", 1e6),
     ] {
         settings.set(name, Value::Number(value));
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -717,7 +717,7 @@
         &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, again: bool,
     ) {
-        // Departure: a client's last try lasts what is left of its patience, so it shows how much time is gone.
+        // Departure: a client's last try lasts what is left of its deadline, so it shows how much time is gone.
         Grade::know(&mut self.grades, grade + 1, &self.settings);
         let (settings, tenants) = (&self.settings, self.tenants.len());
         let quota = |t| settings.number(&format!("tenant.{t}.per_s")).unwrap_or(f64::INFINITY);
@@ -726,7 +726,7 @@
         let common = of.tries.quantile(0.5, now - RECENT).unwrap_or(left);
         of.tries.push(now, left);
         let odd = (left - common).abs() > 4.0 * self.site.tick as f64;
-        let spent = if odd { (of.patience as f64 - left).max(0.0) } else { 0.0 };
+        let spent = if odd { (of.deadline as f64 - left).max(0.0) } else { 0.0 };
         let agreed = now + (of.agreed as f64 + of.stretch * work as f64 - spent) as Micros;
         let (asked, per_s) = &mut self.tenants[tenant];
         asked.push(now, 1.0);
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -188,7 +188,7 @@
 }
 
 #[test]
-fn under_the_floor_nothing_is_answered_and_the_end_comes_before_patience() {
+fn under_the_floor_nothing_is_answered_and_the_end_comes_before_deadline() {
     let mut router = router("unsafe", &[("grade.0.floor", 0.6), ("grade.0.late_share", 0.3)]);
     ask(&mut router, 0, 2);
     settle(&mut router, NOW);
@@ -343,7 +343,7 @@
 
 #[test]
 fn the_last_try_of_a_client_shows_how_much_of_the_agreed_time_is_gone() {
-    let mut router = router("safe", &[("grade.0.patience_us", 3e6)]);
+    let mut router = router("safe", &[("grade.0.deadline_us", 3e6)]);
     router.retrieval(NOW, 0, 0, 0, NOW + 2_000_000, 0, 1, false);
     assert_eq!(router.book.held(0).agreed, NOW + 1_000_000);
     router.retrieval(NOW, 1, 0, 0, NOW + 2_500_000, 0, 1, false);
@@ -690,7 +690,7 @@
         for g in 0..2 {
             settings.set(&format!("grade.{g}.effect"), crate::Value::Text("safe".into()));
             settings.set(&format!("grade.{g}.agreed_us"), crate::Value::Number(300_000.0));
-            settings.set(&format!("grade.{g}.patience_us"), crate::Value::Number(1e6));
+            settings.set(&format!("grade.{g}.deadline_us"), crate::Value::Number(1e6));
         }
         let mut router = Balance::new(3, settings);
         router.list_begins(NOW, Listing::Disk);
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,7 +74,7 @@
 pub struct Grade {
     pub effect: Effect,
     pub agreed: Micros,
-    pub patience: Micros,
+    pub deadline: Micros,
     pub late_share: f64,
     pub part_share: f64,
     pub need: f64,
@@ -92,15 +92,15 @@
 }
 
 impl Grade {
-    /// Without an agreed time it is the client's patience; an unnamed figure counts for nothing.
+    /// Without an agreed time it is the client's deadline; an unnamed figure counts for nothing.
     pub fn new(settings: &Settings, grade: usize, spans: usize, tries: usize) -> Self {
         let name = |name| format!("grade.{grade}.{name}");
         let number = |n, absent| settings.number(&name(n)).unwrap_or(absent);
-        let patience = number("patience_us", 0.0);
+        let deadline = number("deadline_us", 0.0);
         Grade {
             effect: Effect::named(settings.text(&name("effect"))),
-            agreed: number("agreed_us", patience) as Micros,
-            patience: patience as Micros,
+            agreed: number("agreed_us", deadline) as Micros,
+            deadline: deadline as Micros,
             late_share: number("late_share", 0.0),
             part_share: number("part_share", 0.0),
             need: number("need", 1.0),
