--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -25,7 +25,7 @@
 /// The name of the one route configuration, and of the listener that a proxy opens.
 pub const ROUTES: &str = "desk";
 
-/// The header fields by which a request names its service grade and its shard.
+/// The header fields by which a request names its service class and its shard.
 const GRADE: &str = "x-qos";
 const SHARD: &str = "x-shard";
 
@@ -302,7 +302,7 @@
         made
     }
 
-    /// Routes by service grade and shard for a proxy that holds units of these singles.
+    /// Routes by service class and shard for a proxy that holds units of these singles.
     pub fn routes(&mut self, site: &Site, plan: &Plan, held: Vec<String>) -> Arc<Resource> {
         if let Some(made) = self.routes.get(&held) {
             return made.clone();
@@ -310,7 +310,7 @@
         let mut routes = Vec::new();
         let mut clusters: Vec<String> = (0..plan.sets.len()).map(set_name).collect();
         clusters.extend(held.iter().cloned());
-        for grade in &site.grades {
+        for class in &site.classes {
             for (set, of) in plan.sets.iter().enumerate() {
                 let shards: Vec<String> =
                     (set..site.shards).step_by(site.cells).map(|shard| shard.to_string()).collect();
@@ -332,25 +332,25 @@
                     let weighted = rds::WeightedCluster { clusters, ..Default::default() };
                     rds::route_action::ClusterSpecifier::WeightedClusters(weighted)
                 };
-                let action = match grade.effect.as_str() {
-                    "keyed" => refusal(501, "a keyed grade: its keys can't be kept by a proxy\n"),
+                let action = match class.effect.as_str() {
+                    "keyed" => refusal(501, "a keyed class: its keys can't be kept by a proxy\n"),
                     effect => rds::route::Action::Route(rds::RouteAction {
                         cluster_specifier: Some(specifier),
                         // What comes after the agreed time and pays nothing is given up there, as in a router.
-                        timeout: duration(if grade.pays_late { grade.deadline } else { grade.agreed }),
-                        retry_policy: Some(retries(site, grade.agreed, effect == "safe")),
+                        timeout: duration(if class.pays_late { class.deadline } else { class.agreed }),
+                        retry_policy: Some(retries(site, class.agreed, effect == "safe")),
                         cluster_not_found_response_code:
                             rds::route_action::ClusterNotFoundResponseCode::ServiceUnavailable as i32,
                         ..Default::default()
                     }),
                 };
-                let exact = rds::header_matcher::HeaderMatchSpecifier::ExactMatch(grade.name.clone());
+                let exact = rds::header_matcher::HeaderMatchSpecifier::ExactMatch(class.name.clone());
                 let regex = RegexMatcher { regex: shards.join("|"), ..Default::default() };
                 let regex = rds::header_matcher::HeaderMatchSpecifier::SafeRegexMatch(regex);
                 routes.push(route(vec![header(GRADE, exact), header(SHARD, regex)], action));
             }
         }
-        routes.push(route(Vec::new(), refusal(404, "no such service grade or shard\n")));
+        routes.push(route(Vec::new(), refusal(404, "no such service class or shard\n")));
         let host = rds::VirtualHost {
             name: ROUTES.to_string(),
             domains: vec!["*".to_string()],
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -141,8 +141,8 @@
             effects: Vec::new(),
         };
         control.list(now, &config.known, Listing::Disk);
-        for grade in control.site.grades.iter().filter(|grade| grade.effect == "keyed") {
-            tracing::warn!(grade = grade.name, "keyed: proxies refuse it, its keys can't be kept by them");
+        for class in control.site.classes.iter().filter(|class| class.effect == "keyed") {
+            tracing::warn!(class = class.name, "keyed: proxies refuse it, its keys can't be kept by them");
         }
         control
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -142,8 +142,8 @@
     }
 }
 
-/// Figures of a service grade that resources carry.
-pub struct Grade {
+/// Figures of a service class that resources carry.
+pub struct Class {
     pub name: String,
     pub effect: String,
     pub agreed: Micros,
@@ -153,7 +153,7 @@
 
 /// What the settings say that resources carry.
 pub struct Site {
-    pub grades: Vec<Grade>,
+    pub classes: Vec<Class>,
     pub cells: usize,
     pub shards: usize,
     pub width: usize,
@@ -167,10 +167,10 @@
     pub fn new(settings: &Settings) -> Site {
         let number = |name: &str, absent: f64| settings.number(name).unwrap_or(absent);
         let whole = |name: &str| number(name, 1.0).max(1.0) as usize;
-        let grades = numbered(settings, "grade").into_iter().enumerate().map(|(i, name)| {
-            let of = |name: &str| format!("grade.{i}.{name}");
+        let classes = numbered(settings, "class").into_iter().enumerate().map(|(i, name)| {
+            let of = |name: &str| format!("class.{i}.{name}");
             let deadline = number(&of("deadline_us"), 0.0) as Micros;
-            Grade {
+            Class {
                 name,
                 effect: settings.text(&of("effect")).to_string(),
                 agreed: settings.number(&of("agreed_us")).map_or(deadline, |t| t as Micros),
@@ -180,7 +180,7 @@
         });
         let cells = whole("shards.cells");
         Site {
-            grades: grades.collect(),
+            classes: classes.collect(),
             cells,
             shards: whole("shards.count"),
             width: whole("shards.width").min(cells),
--- a/crates/control/tests/rig/mod.rs
+++ b/crates/control/tests/rig/mod.rs
@@ -50,9 +50,9 @@
 
 pub fn config(cells: usize, width: usize, known: Vec<Json>) -> Config {
     let mut settings = settings(cells, width);
-    // The router refuses keyed grades at its start; here one stands for what a proxy is told of them.
-    let grades = settings["services"].as_array_mut().expect("grades");
-    grades.truncate(2);
+    // The router refuses keyed classes at its start; here one stands for what a proxy is told of them.
+    let classes = settings["services"].as_array_mut().expect("classes");
+    classes.truncate(2);
     let json = json!({"name": "c0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "2a",
         "limits": {"sockets": 64}, "known": {"revision": 1, "complete": true, "members": known},
         "settings": settings});
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -49,7 +49,7 @@
 pub struct Clients {
     /// Those that arrived and wait for a socket to become free.
     held_back: usize,
-    /// The longest deadline of any service grade: how long a client may take to send or to read.
+    /// The longest deadline of any service class: how long a client may take to send or to read.
     pub longest: Micros,
     /// How many bytes came of all clients that are not taken, and how many there may be.
     untaken: usize,
@@ -62,8 +62,8 @@
 impl Clients {
     pub fn new(config: &Config) -> Clients {
         let settings = &config.settings;
-        let grades = numbered(settings, "grade");
-        let deadline = (0..grades.len()).map(|g| config.micros(&format!("grade.{g}.deadline_us")));
+        let classes = numbered(settings, "class");
+        let deadline = (0..classes.len()).map(|g| config.micros(&format!("class.{g}.deadline_us")));
         Clients {
             held_back: 0,
             longest: deadline.max().unwrap_or(0),
@@ -71,7 +71,7 @@
             most_untaken: config.memory.map_or(usize::MAX, |most| most / UNTAKEN),
             most_held: settings.number("limits.held").map(|most| most as usize).filter(|&most| most > 0),
             terms: Terms {
-                grades,
+                classes,
                 tenants: numbered(settings, "tenant"),
                 shards: config.whole("shards.count"),
             },
@@ -313,8 +313,8 @@
         let retrieval = desk.gather.open(request.id, conn, until, query.text);
         desk.client(conn).hand = Hand::Retrieval(retrieval);
         let work = query.segments.iter().map(|s| s.2).sum();
-        let (grade, parts) = (query.grade, query.segments.len());
-        self.balance.retrieval(now, retrieval, grade, query.tenant, until, work, parts, request.again);
+        let (class, parts) = (query.class, query.segments.len());
+        self.balance.retrieval(now, retrieval, class, query.tenant, until, work, parts, request.again);
         for (shard, weight, work) in query.segments {
             let part = self.desk.gather.add(retrieval, shard);
             self.balance.part(now, retrieval, part, shard, weight, work);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -93,19 +93,19 @@
     /// Says which setting the router can't serve with.
     fn checked(self) -> Result<Config, String> {
         let settings = &self.settings;
-        let grades = numbered(settings, "grade");
-        if grades.is_empty() {
-            return Err("settings.services: no service grade is named".to_string());
+        let classes = numbered(settings, "class");
+        if classes.is_empty() {
+            return Err("settings.services: no service class is named".to_string());
         }
-        for (i, name) in grades.iter().enumerate() {
-            if settings.number(&format!("grade.{i}.deadline_us")).is_none_or(|t| t <= 0.0) {
+        for (i, name) in classes.iter().enumerate() {
+            if settings.number(&format!("class.{i}.deadline_us")).is_none_or(|t| t <= 0.0) {
                 return Err(format!("settings.services: {name}: deadlineNs is missing or not positive"));
             }
             // Without the client's mark a node can't tell a repeat, and the protocol names no way to send it.
-            if settings.text(&format!("grade.{i}.effect")) == "keyed" {
+            if settings.text(&format!("class.{i}.effect")) == "keyed" {
                 return Err(format!("settings.services: {name}: idempotency_key is not served"));
             }
-            if settings.number(&format!("grade.{i}.second_step")).is_some_and(|n| n >= 1.0) {
+            if settings.number(&format!("class.{i}.second_step")).is_some_and(|n| n >= 1.0) {
                 return Err(format!("settings.familyInfo.secondStep: {name}: second steps are not served"));
             }
         }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -19,7 +19,7 @@
     pub path: &'a str,
     pub body: Cow<'a, [u8]>,
     pub id: &'a str,
-    pub grade: &'a str,
+    pub class: &'a str,
     pub tenant: &'a str,
     pub deadline: &'a str,
     pub again: bool,
@@ -169,7 +169,7 @@
         let text = std::str::from_utf8(field.value).unwrap_or("").trim();
         match field.name {
             name if name.eq_ignore_ascii_case("x-trace-id") => request.id = text,
-            name if name.eq_ignore_ascii_case("x-qos") => request.grade = text,
+            name if name.eq_ignore_ascii_case("x-qos") => request.class = text,
             name if name.eq_ignore_ascii_case("x-customer") => request.tenant = text,
             name if name.eq_ignore_ascii_case("x-expires-in-ms") => request.deadline = text,
             name if name.eq_ignore_ascii_case("x-second-try") => request.again = text == "1",
@@ -254,7 +254,7 @@
             }
             let more = format!("{text}GET /");
             let got = request(more.as_bytes()).expect("well formed").expect("whole");
-            assert_eq!((got.method, got.path, got.grade, got.id), ("POST", "/api", "look", "t1"));
+            assert_eq!((got.method, got.path, got.class, got.id), ("POST", "/api", "look", "t1"));
             assert_eq!((&*got.body, got.length, got.last), (&b"hello"[..], text.len(), false));
         }
     }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -156,8 +156,8 @@
     /// the sockets is used up. Answers bear no number of a trial, so no part goes out twice on one connection.
     pub fn link_for(&mut self, node: Node, ids: &[Rc<str>]) -> Option<Conn> {
         let best = self.best_link(node, ids);
-        if let Some((class, conn)) = best
-            && (class == 0 || ids.is_empty())
+        if let Some((rank, conn)) = best
+            && (rank == 0 || ids.is_empty())
         {
             return Some(conn);
         }
@@ -188,8 +188,8 @@
                 && rests.is_none_or(|since| now - since < idle)
                 && link.load() + ids.len() <= most
                 && !ids.iter().any(known);
-            let class = rests.map_or(2, |since| (now - since < self.tick) as u8);
-            fits.then_some((class, rests, !link.up, link.load(), conn))
+            let rank = rests.map_or(2, |since| (now - since < self.tick) as u8);
+            fits.then_some((rank, rests, !link.up, link.load(), conn))
         });
         rated.min().map(|best| (best.0, best.4))
     }
--- a/crates/router/src/query.rs
+++ b/crates/router/src/query.rs
@@ -13,7 +13,7 @@
 /// What a query asks for, as indices and figures.
 #[derive(Debug, PartialEq)]
 pub struct Query {
-    pub grade: usize,
+    pub class: usize,
     pub tenant: usize,
     pub deadline: Micros,
     pub segments: Vec<Segment>,
@@ -23,7 +23,7 @@
 /// The names and the number of shards that queries are checked against.
 #[derive(Debug, Default)]
 pub struct Terms {
-    pub grades: Vec<String>,
+    pub classes: Vec<String>,
     pub tenants: Vec<String>,
     pub shards: usize,
 }
@@ -35,7 +35,7 @@
             return Err("X-Trace-Id is missing or not a plain word");
         }
         let known = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let grade = known(&self.grades, request.grade).ok_or("X-Qos names no known service grade")?;
+        let class = known(&self.classes, request.class).ok_or("X-Qos names no known service class")?;
         let tenant = if self.tenants.is_empty() { Some(0) } else { known(&self.tenants, request.tenant) };
         let tenant = tenant.ok_or("X-Customer names no known customer")?;
         let digits = request.deadline.bytes().all(|b| b.is_ascii_digit());
@@ -65,7 +65,7 @@
             return Err("the segments' boosts do not add up to 1");
         }
         let text = json["text"].as_str().ok_or("text is missing or not a text")?.to_string();
-        Ok(Query { grade, tenant, deadline: Micros::from(deadline) * 1000, segments, text })
+        Ok(Query { class, tenant, deadline: Micros::from(deadline) * 1000, segments, text })
     }
 }
 
@@ -74,9 +74,9 @@
     use super::*;
 
     fn query(deadline: &str, body: &str) -> Result<Query, &'static str> {
-        let terms = Terms { grades: vec!["look".into(), "pay".into()], tenants: Vec::new(), shards: 4 };
+        let terms = Terms { classes: vec!["look".into(), "pay".into()], tenants: Vec::new(), shards: 4 };
         let body = body.as_bytes().into();
-        terms.query(&Request { id: "t1", grade: "pay", deadline, body, ..Default::default() })
+        terms.query(&Request { id: "t1", class: "pay", deadline, body, ..Default::default() })
     }
 
     #[test]
@@ -84,7 +84,7 @@
         let body = r#"{"segments":[{"segment":3,"boost":0.25,"work":9000,"affinity":"0f"},
             {"segment":0,"boost":0.75}],"text":"c4\u00e9","new":1}"#;
         let (segments, text) = (vec![(3, 0.25, 9000), (0, 0.75, 0)], "c4é".to_string());
-        assert_eq!(query("480", body), Ok(Query { grade: 1, tenant: 0, deadline: 480_000, segments, text }));
+        assert_eq!(query("480", body), Ok(Query { class: 1, tenant: 0, deadline: 480_000, segments, text }));
     }
 
     #[test]
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -124,10 +124,10 @@
     }
 
     /// A client's request for two shards, decided on.
-    fn ask(&mut self, grade: &str, id: &str) -> Conn {
+    fn ask(&mut self, class: &str, id: &str) -> Conn {
         let conn = self.client();
         let request = post(
-            grade,
+            class,
             id,
             r#"{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"q"}"#,
         );
@@ -154,10 +154,10 @@
     }
 }
 
-fn post(grade: &str, id: &str, body: &str) -> String {
+fn post(class: &str, id: &str, body: &str) -> String {
     let length = body.len();
     format!(
-        "POST /api HTTP/1.1\r\nX-Qos: {grade}\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 1500\r\nContent-Length: {length}\r\n\r\n{body}"
+        "POST /api HTTP/1.1\r\nX-Qos: {class}\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 1500\r\nContent-Length: {length}\r\n\r\n{body}"
     )
 }
 
@@ -208,15 +208,15 @@
 #[test]
 fn what_was_not_written_whole_never_ran_and_the_rest_may_have() {
     // An unsafe part goes out again only on proof that it never ran.
-    for (grade, unwritten, status) in [("pay", 1, None), ("pay", 0, Some("502")), ("look", 0, Some("503"))] {
+    for (class, unwritten, status) in [("pay", 1, None), ("pay", 0, Some("502")), ("look", 0, Some("503"))] {
         let mut bench = Bench::new();
-        let client = bench.ask(grade, "t1");
+        let client = bench.ask(class, "t1");
         let (link, port) = bench.up();
         let written = bench.said(link).len() as u64;
         bench.tell(Event::Ended(link, written - unwritten));
         bench.settle();
         let (_, other) = *bench.links.last().expect("a link");
-        assert_eq!(other != port && other != 9, grade == "look" || unwritten > 0, "{grade} {unwritten}");
+        assert_eq!(other != port && other != 9, class == "look" || unwritten > 0, "{class} {unwritten}");
         bench.pass(2_000_000);
         assert!(status.is_none_or(|status| bench.said(client).contains(status)), "{}", bench.said(client));
     }
--- a/crates/terms/src/names.rs
+++ b/crates/terms/src/names.rs
@@ -22,10 +22,10 @@
     ("countedBy", "importance_by"),
     ("familyInfo.bundleMax", "calls.parts"),
     ("familyInfo.callNs", "calls.work_us"),
-    ("familyInfo.floorByClass.#", "grade.#.floor"),
-    ("familyInfo.incompleteWorth.#", "grade.#.part_share"),
-    ("familyInfo.needByClass.#", "grade.#.need"),
-    ("familyInfo.secondStep.#", "grade.#.second_step"),
+    ("familyInfo.floorByClass.#", "class.#.floor"),
+    ("familyInfo.incompleteWorth.#", "class.#.part_share"),
+    ("familyInfo.needByClass.#", "class.#.need"),
+    ("familyInfo.secondStep.#", "class.#.second_step"),
     ("familyInfo.sets", "shards.cells"),
     ("familyInfo.shards", "shards.count"),
     ("familyInfo.warmKeys", "shards.warm_keys"),
@@ -59,20 +59,20 @@
     ("report.columns.#", "report.#.name"),
     ("report.how", "report.how"),
     ("scoringMix.whole", "weight.whole"),
-    ("scoringMix.worstClass", "weight.worst_grade"),
+    ("scoringMix.worstClass", "weight.worst_class"),
     ("scoringMix.worstTenant", "weight.worst_tenant"),
     ("scoringMix.worstWindow", "weight.worst_window"),
     ("serviceType", "service_type"),
-    ("services.#.aimStretch", "grade.#.agreed_stretch"),
-    ("services.#.deadlineNs", "grade.#.deadline_us"),
-    ("services.#.dedupWindowNs", "grade.#.repeat_us"),
-    ("services.#.group", "grade.#.repeat_group"),
-    ("services.#.idempotency", "grade.#.effect"),
-    ("services.#.lateShare", "grade.#.late_share"),
-    ("services.#.name", "grade.#.name"),
-    ("services.#.streamed", "grade.#.streamed"),
-    ("services.#.targetNs", "grade.#.agreed_us"),
-    ("services.#.worth", "grade.#.importance"),
+    ("services.#.aimStretch", "class.#.agreed_stretch"),
+    ("services.#.deadlineNs", "class.#.deadline_us"),
+    ("services.#.dedupWindowNs", "class.#.repeat_us"),
+    ("services.#.group", "class.#.repeat_group"),
+    ("services.#.idempotency", "class.#.effect"),
+    ("services.#.lateShare", "class.#.late_share"),
+    ("services.#.name", "class.#.name"),
+    ("services.#.streamed", "class.#.streamed"),
+    ("services.#.targetNs", "class.#.agreed_us"),
+    ("services.#.worth", "class.#.importance"),
     ("slotNo", "router"),
     ("tenants.#.fraction", "tenant.#.share"),
     ("tenants.#.name", "tenant.#.name"),
@@ -198,8 +198,8 @@
             "services": [{"idempotency": "read_like", "targetNs": 1500}], "ceilings": {"probes": true}}"#;
         let got = settings(&serde_json::from_str(json).expect("JSON")).expect("an object");
         assert_eq!(got.number("tick_us"), Some(5000.0));
-        assert_eq!(got.number("grade.0.agreed_us"), Some(1.0));
-        assert_eq!((got.text("grade.0.effect"), got.text("list.mode")), ("safe", "asked"));
+        assert_eq!(got.number("class.0.agreed_us"), Some(1.0));
+        assert_eq!((got.text("class.0.effect"), got.text("list.mode")), ("safe", "asked"));
         assert!(got.flag("limits.probes") && got.0.len() == 5);
         assert!(settings(&Json::Array(Vec::new())).is_err());
     }
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -205,7 +205,7 @@
 
     fn accept(&mut self, now: Micros, line: &Line) -> Result<(), String> {
         let id: u64 = line.need("opId")?;
-        let (grade, tenant) = (line.need("lane")?, line.or("org", 0)?);
+        let (class, tenant) = (line.need("lane")?, line.or("org", 0)?);
         let until = line.micros("validUntilNs")?;
         let (work, query) = (line.micros_or_zero("sizeHintNs")?, line.need::<u64>("query")?);
         let (shard, weight) = (line.need::<i64>("shard")?, line.number("heft")?);
@@ -226,7 +226,7 @@
             self.router.retrieval(
                 now,
                 retrieval,
-                grade,
+                class,
                 tenant,
                 until,
                 work,
--- a/examples/settle.rs
+++ b/examples/settle.rs
@@ -37,12 +37,12 @@
         ("calls.parts", 4.0),
         ("limits.shots", 3.0),
         ("tick_us", TICK as f64),
-        ("grade.0.agreed_us", 3e5),
-        ("grade.0.deadline_us", 1e6),
+        ("class.0.agreed_us", 3e5),
+        ("class.0.deadline_us", 1e6),
     ] {
         settings.set(name, Value::Number(value));
     }
-    settings.set("grade.0.effect", Value::Text("safe".into()));
+    settings.set("class.0.effect", Value::Text("safe".into()));
     let (mut router, mut fleet) = (Balance::new(1, settings), Fleet::default());
     let start = 1_000_000_000;
     router.list_begins(start, Listing::Whole);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 use crate::samples::Samples;
-use crate::state::{Book, Effect, Grade, NodeState, Part, Retrieval, Shards, Shot, Site};
+use crate::state::{Book, Class, Effect, NodeState, Part, Retrieval, Shards, Shot, Site};
 use crate::{Actions, End, Events, Listing, Micros, Node, Outcome, Phase, Settings, Standing, Sums};
 use std::cmp::Reverse;
 
@@ -43,7 +43,7 @@
 pub struct Balance {
     settings: Settings,
     site: Site,
-    grades: Vec<Grade>,
+    classes: Vec<Class>,
     rng: fastrand::Rng,
     nodes: Vec<NodeState>,
     shards: Shards,
@@ -113,18 +113,18 @@
     /// Answers when the parts are in that make it whole; ends what no longer can be.
     fn reduce(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
-        let (step, grade) = (held.step, &self.grades[held.grade]);
+        let (step, class) = (held.step, &self.classes[held.class]);
         let parts = &held.parts[step..];
         if parts.is_empty() {
             return Step::Keep;
         }
-        let need = if step > 0 { 1.0 } else { grade.need };
-        let floor = if step > 0 && grade.need <= grade.floor { 1.0 } else { grade.floor.min(need) };
+        let need = if step > 0 { 1.0 } else { class.need };
+        let floor = if step > 0 && class.need <= class.floor { 1.0 } else { class.floor.min(need) };
         let (inside, possible, waiting, all) = self.book.tally(parts);
         parts.iter().filter(|&&p| self.book.part(p).done).for_each(|&p| self.withdraw(p, acts));
         let whole = all || (need < 1.0 && inside >= need);
         // Departure: where a floor allows it, the agreed time's end is worth an answer from part.
-        let pays = grade.part_share * inside / need > grade.late_share;
+        let pays = class.part_share * inside / need > class.late_share;
         let ends = if pays { held.agreed.min(held.until) } else { held.until } - self.margin();
         let end = if whole && (step == 0 || held.first_whole) {
             End::Whole
@@ -135,7 +135,7 @@
         } else {
             return Step::Pass;
         };
-        if step > 0 || !grade.second_step {
+        if step > 0 || !class.second_step {
             return Step::End(end);
         }
         let held = self.book.held_mut(r);
@@ -148,7 +148,7 @@
     fn doom(&self, r: usize) -> Step {
         let held = self.book.held(r);
         let ran = held.parts.iter().any(|&p| self.book.part(p).may_have_run.is_some());
-        let harmless = !ran || self.grades[held.grade].effect == Effect::Safe;
+        let harmless = !ran || self.classes[held.class].effect == Effect::Safe;
         let wait = held.admitted.is_none() as Micros * self.site.stay_away;
         Step::End(if harmless { End::Deferred(wait) } else { End::GivenUp })
     }
@@ -156,11 +156,11 @@
     /// Ends what ran out of time: unsent work that can no longer be in time, sent work that pays no more.
     fn time_left(&mut self, now: Micros, r: usize, _acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
-        let grade = &self.grades[held.grade];
-        let end = if grade.late_share > 0.0 { held.until } else { held.agreed };
+        let class = &self.classes[held.class];
+        let end = if class.late_share > 0.0 { held.until } else { held.agreed };
         let over = match held.admitted {
-            None => now + grade.span > end - self.margin(),
-            Some(_) => grade.late_share <= 0.0 && now >= held.agreed,
+            None => now + class.span > end - self.margin(),
+            Some(_) => class.late_share <= 0.0 && now >= held.agreed,
         };
         if over || now >= held.until - self.margin() { self.doom(r) } else { Step::Pass }
     }
@@ -168,7 +168,7 @@
     /// Bounds the parts in flight; a new retrieval goes with all its parts or waits; what is left follows.
     fn admit(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
-        let (new, floor) = (held.admitted.is_none(), self.grades[held.grade].floor);
+        let (new, floor) = (held.admitted.is_none(), self.classes[held.class].floor);
         if new && held.again && self.fatal.iter().any(|f| f.0 > now - ALARM && f.1 == self.book.likeness(r)) {
             return self.doom(r);
         }
@@ -208,10 +208,10 @@
     /// retrievals that can be answered without a jammed cell taking its places from those that need it.
     fn forgo(&mut self, now: Micros, r: usize) {
         let held = self.book.held(r);
-        let (grade, parts) = (&self.grades[held.grade], held.parts[held.step..].to_vec());
-        let (least, mut possible) = ((grade.floor + grade.need) / 2.0, self.book.tally(&parts).1);
-        for p in parts.into_iter().filter(|_| grade.floor < grade.need) {
-            let (part, partial) = (self.book.part(p), possible + 1e-5 < grade.need);
+        let (class, parts) = (&self.classes[held.class], held.parts[held.step..].to_vec());
+        let (least, mut possible) = ((class.floor + class.need) / 2.0, self.book.tally(&parts).1);
+        for p in parts.into_iter().filter(|_| class.floor < class.need) {
+            let (part, partial) = (self.book.part(p), possible + 1e-5 < class.need);
             let jammed = |&n: &Node| self.nodes[n].fulls > 0 && self.nodes[n].full_until > now - RECENT;
             let idle = !part.done && !part.lost && part.out == 0 && possible - part.weight >= least;
             let all = || self.shards.holders(part.shard).iter().all(jammed);
@@ -243,7 +243,7 @@
         }
         let parts = held.parts.iter().map(|&p| self.book.part(p));
         let (out, last) = parts.fold((0, 0), |sum, part| (sum.0 + part.out, part.sent_at.max(sum.1)));
-        if out > 0 && now - last <= self.limit(held.grade, 0) {
+        if out > 0 && now - last <= self.limit(held.class, 0) {
             return Step::Keep;
         }
         if out == 0 && held.fallen.len() > 1 {
@@ -257,10 +257,10 @@
     /// Further shots: another try for a part whose shots are over, a second copy for an overdue one.
     fn further(&mut self, now: Micros, r: usize, acts: &mut dyn Actions) -> Step {
         let held = self.book.held(r);
-        let (grade, agreed, until) = (held.grade, held.agreed, held.until);
+        let (class, agreed, until) = (held.class, held.agreed, held.until);
         let parts = held.parts[held.step..].to_vec();
         // Where the middle lag is long, everything waits, and copies would feed that.
-        let crowded = self.usual.is_some_and(|u| 4 * u[1] > self.grades[grade].agreed);
+        let crowded = self.usual.is_some_and(|u| 4 * u[1] > self.classes[class].agreed);
         // What the budget cannot carry to its end ends now: the client's next try finds the nodes known.
         let over: Vec<usize> = parts.iter().copied().filter(|&p| self.book.part(p).is_over()).collect();
         let spare = if over.is_empty() { 0.0 } else { self.spare(now, false).max(0.0) };
@@ -272,8 +272,8 @@
         for p in parts {
             let part = self.book.part(p);
             let Some(&last) = part.shots.last().filter(|_| !part.done && !part.lost) else { continue };
-            let late = now - part.sent_at > self.limit(grade, last)
-                || self.nodes[last].record(grade).barred_until > now;
+            let late = now - part.sent_at > self.limit(class, last)
+                || self.nodes[last].record(class).barred_until > now;
             let copy = part.out > 0;
             if late && copy && part.rest >= 0 {
                 let rest = std::mem::replace(&mut self.book.part_mut(p).rest, -1);
@@ -286,7 +286,7 @@
             let in_time = now + self.usual.map_or(0, |u| u[1]) < if copy { agreed } else { until };
             if part.shots.len() >= self.site.most_shots
                 || !in_time
-                || !self.may_run_again(now, p, grade, copy)
+                || !self.may_run_again(now, p, class, copy)
             {
                 self.book.part_mut(p).lost = !copy;
                 lost |= !copy;
@@ -307,13 +307,13 @@
     fn plan(&self, now: Micros, parts: &[usize]) -> Vec<(usize, Node)> {
         let most = self.site.call_parts;
         let (mut left, mut plan) = (parts.to_vec(), Vec::new());
-        let grade = parts.first().map_or(0, |&p| self.book.held(self.book.part(p).retrieval).grade);
+        let class = parts.first().map_or(0, |&p| self.book.held(self.book.part(p).retrieval).class);
         while !left.is_empty() {
             let Some((node, _)) = self.pick(now, &left, &plan, true).filter(|&(_, care)| care >= OPEN) else {
                 left.remove(0);
                 continue;
             };
-            let room = most.min(self.room(node, plan.iter().filter(|x| x.1 == node).count(), grade));
+            let room = most.min(self.room(node, plan.iter().filter(|x| x.1 == node).count(), class));
             let held = left.iter().copied().filter(|&p| self.holds(node, p)).take(room);
             let goes: Vec<usize> = held.collect();
             left.retain(|p| !goes.contains(p));
@@ -326,17 +326,17 @@
     fn pick(&self, now: Micros, left: &[usize], plan: &[(usize, Node)], bound: bool) -> Option<(Node, u8)> {
         let (part, most) = (self.book.part(left[0]), self.site.call_parts);
         let holders = self.shards.holders(part.shard);
-        let grade = self.book.held(part.retrieval).grade;
+        let class = self.book.held(part.retrieval).class;
         let rest: Vec<Node> = holders.iter().copied().filter(|n| !part.shots.contains(n)).collect();
         let holders = if rest.is_empty() { holders } else { rest };
         let planned = |n: Node| plan.iter().filter(|x| x.1 == n).count();
-        let roomy = |n: Node| !bound || self.room(n, planned(n), grade) > 0;
+        let roomy = |n: Node| !bound || self.room(n, planned(n), class) > 0;
         if !holders.iter().any(|&n| roomy(n)) {
             return None;
         }
         let finish = |n: Node| self.pace(now, n) * (1.0 + (self.nodes[n].out.len() + planned(n)) as f64);
         let rated: Vec<(Node, u8, f64)> =
-            holders.into_iter().map(|n| (n, self.state(now, n, grade), finish(n))).collect();
+            holders.into_iter().map(|n| (n, self.state(now, n, class), finish(n))).collect();
         let best = rated.iter().filter(|x| x.1 == SOUND).map(|x| x.2).fold(f64::INFINITY, f64::min);
         let care = |&(n, state, finish): &(Node, u8, f64)| match state {
             SOUND if finish > 2.0 * best + self.usual.map_or(0.0, |u| u[1] as f64) => SOUND,
@@ -345,7 +345,7 @@
         };
         rated
             .iter()
-            .filter(|&&(n, ..)| roomy(n) && self.cold_room(now, n, planned(n) + 1, grade))
+            .filter(|&&(n, ..)| roomy(n) && self.cold_room(now, n, planned(n) + 1, class))
             .min_by_key(|&x| {
                 let shared = left.iter().filter(|&&p| self.holds(x.0, p));
                 let (node, shared) = (&self.nodes[x.0], Reverse(shared.take(most).count()));
@@ -356,26 +356,26 @@
     }
 
     /// How good a node is: `SOUND` with nothing overdue and not being tried already, `OPEN` if not barred.
-    fn state(&self, now: Micros, n: Node, grade: usize) -> u8 {
+    fn state(&self, now: Micros, n: Node, class: usize) -> u8 {
         let node = &self.nodes[n];
-        let record = node.record(grade);
+        let record = node.record(class);
         if record.barred_until > now || node.full_until > now {
             return 0;
         }
-        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(grade, n));
+        let overdue = node.oldest_out().is_some_and(|at| now - at > self.limit(class, n));
         // An unsafe part gets no other shot: its first choice breaks off less than a tenth of what it begins.
-        let doubt = node.in_doubt(grade);
+        let doubt = node.in_doubt(class);
         let proven = !doubt && node.lost(now - RECENT) < 0.1;
-        let wanting = !proven && self.grades[grade].effect == Effect::Unsafe;
+        let wanting = !proven && self.classes[class].effect == Effect::Unsafe;
         if overdue || wanting || doubt && !node.out.is_empty() { OPEN } else { SOUND }
     }
 
     /// How many parts more a node may hold of this router's.
-    fn room(&self, n: Node, planned: usize, grade: usize) -> usize {
+    fn room(&self, n: Node, planned: usize, class: usize) -> usize {
         let (node, call, few) = (&self.nodes[n], self.site.call_parts, self.site.call_parts.max(2));
         // Departure: among many routers one call each is too much for a node: under that a bound is a pause,
         // and what failed is tried with a part. Guards against jams that all the tries together keep up.
-        let struck = node.in_doubt(grade);
+        let struck = node.in_doubt(class);
         if node.bound < few as f64 || struck {
             let open = node.out.is_empty() && self.now >= node.open_at;
             let most = if struck { self.least().ceil() as usize } else { few };
@@ -419,8 +419,8 @@
         // Guards against a restarted router that takes the time before its start for one without traffic.
         let up = (now - *self.began.get_or_insert(now)).clamp(RECENT / 10, RECENT);
         self.average = self.sent.sum(from) / up as f64 / self.shards.ready.max(1) as f64;
-        for grade in &mut self.grades {
-            grade.span = grade.spans.quantile(0.75, from).map_or(0, |s| (s as Micros).min(grade.agreed / 2));
+        for class in &mut self.classes {
+            class.span = class.spans.quantile(0.75, from).map_or(0, |s| (s as Micros).min(class.agreed / 2));
         }
     }
 
@@ -430,8 +430,8 @@
     }
 
     /// How long a shot may be out: the agreed time until lags are learned, then half of it at most.
-    fn limit(&self, grade: usize, n: Node) -> Micros {
-        let agreed = self.grades[grade].agreed;
+    fn limit(&self, class: usize, n: Node) -> Micros {
+        let agreed = self.classes[class].agreed;
         self.usual.map_or(agreed, |u| (agreed / 2).min(2 * u[2] + self.way(n)))
     }
 
@@ -454,7 +454,7 @@
         match self.bears(now, n) {
             _ if !node.ready => Standing::Draining,
             _ if barred > now => Standing::BarredUntil(barred),
-            _ if (0..self.grades.len()).any(|g| node.in_doubt(g)) => {
+            _ if (0..self.classes.len()).any(|g| node.in_doubt(g)) => {
                 Standing::Doubtful { parts: self.least() }
             }
             Some((_, share)) if share < 1.0 => Standing::Cold { parts: parts * share, share },
@@ -479,11 +479,11 @@
     }
 
     /// This router's share of what a cold node of one core can take in the rule's window.
-    fn cold_room(&self, now: Micros, n: Node, parts: usize, grade: usize) -> bool {
+    fn cold_room(&self, now: Micros, n: Node, parts: usize, class: usize) -> bool {
         let (node, window) = (&self.nodes[n], self.site.tip.0);
         let Some((start, bears)) = self.bears(now, n) else { return true };
         let room = bears * window as f64 / self.site.routers;
-        let work = parts as f64 * self.part_work(grade) + self.site.call_work;
+        let work = parts as f64 * self.part_work(class) + self.site.call_work;
         if node.sent.sum(now - window) + work <= room {
             return true;
         }
@@ -495,13 +495,13 @@
     }
 
     /// Work of a part is not told: a low lag is near it, a tenth of the agreed time until one is learned.
-    fn part_work(&self, grade: usize) -> f64 {
-        self.usual.map_or(self.grades[grade].agreed as f64 / 10.0, |u| u[0] as f64)
+    fn part_work(&self, class: usize) -> f64 {
+        self.usual.map_or(self.classes[class].agreed as f64 / 10.0, |u| u[0] as f64)
     }
 
     fn send(&mut self, now: Micros, part: usize, node: Node, acts: &mut dyn Actions) {
-        let grade = self.book.held(self.book.part(part).retrieval).grade;
-        let (mut work, call) = (self.part_work(grade), self.site.call_work);
+        let class = self.book.held(self.book.part(part).retrieval).class;
+        let (mut work, call) = (self.part_work(class), self.site.call_work);
         let to = &mut self.nodes[node];
         if to.out.last().is_none_or(|s| s.at < now) {
             work += call;
@@ -529,11 +529,11 @@
     }
 
     /// Proof that it never ran frees any part for another shot; without it only what may be repeated.
-    fn may_run_again(&self, now: Micros, p: usize, grade: usize, copy: bool) -> bool {
-        let grade = &self.grades[grade];
-        match (self.book.part(p).may_have_run, grade.effect) {
+    fn may_run_again(&self, now: Micros, p: usize, class: usize, copy: bool) -> bool {
+        let class = &self.classes[class];
+        match (self.book.part(p).may_have_run, class.effect) {
             (None, _) => !copy,
-            (Some(first), Effect::Keyed) => now < first + grade.repeat - self.margin(),
+            (Some(first), Effect::Keyed) => now < first + class.repeat - self.margin(),
             (_, effect) => effect == Effect::Safe,
         }
     }
@@ -554,7 +554,7 @@
         held.parts.iter().filter(|&&p| !self.book.part(p).done).for_each(|&p| self.withdraw(p, acts));
         acts.finish(r, end);
         if let (End::Whole, Some(at)) = (end, held.admitted) {
-            self.grades[held.grade].spans.push(now, (now - at) as f64);
+            self.classes[held.class].spans.push(now, (now - at) as f64);
         }
         self.close(r);
     }
@@ -567,8 +567,8 @@
     }
 
     /// Choice of node: what the end of a shot says of its node.
-    fn learn(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
-        let limit = self.limit(grade, n);
+    fn learn(&mut self, now: Micros, n: Node, class: usize, outcome: Outcome, lag: Micros) {
+        let limit = self.limit(class, n);
         let usual = self.usual.map_or(limit / 8, |u| u[1]);
         let slow_way = self.way(n) > usual;
         let node = &mut self.nodes[n];
@@ -582,7 +582,7 @@
         node.missed = if outcome == Outcome::Unreachable && !alive { now } else { node.missed };
         match outcome {
             Outcome::Ok => {
-                let record = node.record_mut(grade);
+                let record = node.record_mut(class);
                 (record.strikes, record.last_ok) = (record.strikes / 2, now);
                 (node.fulls, node.full_until, node.heard, node.struck) = (0, now, now, 0);
                 node.missed *= (lag > usual) as Micros;
@@ -602,14 +602,14 @@
             _ if outcome == Outcome::Unsent || alive || silent && !late => return,
             _ => {}
         }
-        if outcome == Outcome::Unreachable && node.record(grade).barred_until < node.struck {
+        if outcome == Outcome::Unreachable && node.record(class).barred_until < node.struck {
             self.falls.push(now, 1.0);
         }
         if outcome != Outcome::Error {
             node.lags.push(now, lag.max(limit) as f64);
         }
-        // One strike an episode; a silence does not count for a grade that was answered meanwhile.
-        for g in 0..self.grades.len() {
+        // One strike an episode; a silence does not count for a class that was answered meanwhile.
+        for g in 0..self.classes.len() {
             let record = node.record_mut(g);
             if now >= record.barred_until && !(silent && (record.last_ok > now - lag || slow_way)) {
                 record.strikes = (record.strikes + 1).min(5);
@@ -632,9 +632,9 @@
     }
 
     /// Admission: a node's bound follows what its lags leave of the agreed time.
-    fn free(&mut self, now: Micros, n: Node, grade: usize, outcome: Outcome, lag: Micros) {
+    fn free(&mut self, now: Micros, n: Node, class: usize, outcome: Outcome, lag: Micros) {
         let (few, least) = (self.site.call_parts.max(2) as f64, self.least());
-        let target = 0.25 * self.grades[grade].agreed as f64;
+        let target = 0.25 * self.classes[class].agreed as f64;
         let slow = (lag - self.way(n)) as f64 > target && matches!(outcome, Outcome::Ok | Outcome::Withdrawn);
         let node = &mut self.nodes[n];
         if slow || outcome == Outcome::Full {
@@ -714,15 +714,15 @@
     }
 
     fn retrieval(
-        &mut self, now: Micros, r: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
+        &mut self, now: Micros, r: usize, class: usize, tenant: usize, until: Micros, work: Micros,
         _parts: usize, again: bool,
     ) {
         // Departure: a client's last try lasts what is left of its deadline, so it shows how much time is gone.
-        Grade::know(&mut self.grades, grade + 1, &self.settings);
+        Class::know(&mut self.classes, class + 1, &self.settings);
         let (settings, tenants) = (&self.settings, self.tenants.len());
         let quota = |t| settings.number(&format!("tenant.{t}.per_s")).unwrap_or(f64::INFINITY);
         self.tenants.extend((tenants..=tenant).map(|t| (Samples::new(64), quota(t))));
-        let (of, left) = (&mut self.grades[grade], (until - now) as f64);
+        let (of, left) = (&mut self.classes[class], (until - now) as f64);
         let common = of.tries.quantile(0.5, now - RECENT).unwrap_or(left);
         of.tries.push(now, left);
         let odd = (left - common).abs() > 4.0 * self.site.tick as f64;
@@ -731,7 +731,7 @@
         let (asked, per_s) = &mut self.tenants[tenant];
         asked.push(now, 1.0);
         let over = asked.sum(now - RECENT / 3) > *per_s / self.site.routers * (RECENT / 3) as f64 / 1e6;
-        self.book.open(r, Retrieval::new(grade, tenant, over as u8, agreed.min(until), until, again));
+        self.book.open(r, Retrieval::new(class, tenant, over as u8, agreed.min(until), until, again));
         self.open.push(r);
         self.taken.push(now, 1.0);
     }
@@ -746,8 +746,8 @@
         _load: &[(&str, f64)],
     ) {
         let Some(shot) = self.nodes[n].take(p, trial) else { return };
-        let grade = self.book.held(self.book.part(p).retrieval).grade;
-        let lost = outcome == Outcome::Broken || outcome == Outcome::Withdrawn && lag > self.limit(grade, n);
+        let class = self.book.held(self.book.part(p).retrieval).class;
+        let lost = outcome == Outcome::Broken || outcome == Outcome::Withdrawn && lag > self.limit(class, n);
         if matches!(outcome, Outcome::Broken | Outcome::Ok) && self.book.part(p).rest >= 0 {
             self.rested(now, lost, shot.rest);
         }
@@ -757,8 +757,8 @@
             if full { [0, 2, 1][self.book.part(p).proven.min(2)] } else { (outcome == Outcome::Ok) as usize };
         (0..counts).for_each(|_| self.turned.push(now, full as u8 as f64));
         if !lost || shot.rest < self.doubtful {
-            self.learn(now, n, grade, outcome, lag);
-            self.free(now, n, grade, outcome, lag);
+            self.learn(now, n, class, outcome, lag);
+            self.free(now, n, class, outcome, lag);
         }
         self.book.ended(p, n, outcome);
     }
@@ -766,8 +766,8 @@
     /// Departure: sums are one piece of evidence each, for what befell more than half of the shots.
     fn summed(&mut self, now: Micros, n: Node, sums: &Sums) {
         let half = (sums.answered + sums.failed + sums.unreachable) / 2.0;
-        let named = |g: &usize| !self.settings.text(&format!("grade.{g}.name")).is_empty();
-        Grade::know(&mut self.grades, (0..).take_while(named).count(), &self.settings);
+        let named = |g: &usize| !self.settings.text(&format!("class.{g}.name")).is_empty();
+        Class::know(&mut self.classes, (0..).take_while(named).count(), &self.settings);
         self.nodes[n].told = Some((now, sums.held));
         let outcome = if sums.unreachable > half {
             Outcome::Unreachable
@@ -778,10 +778,10 @@
         } else {
             return;
         };
-        // What failed strikes each grade by itself in `learn`; an answer is told for each.
-        let grades = if outcome == Outcome::Ok { self.grades.len() } else { 1 };
-        (0..grades).for_each(|g| self.learn(now, n, g, outcome, sums.lag));
-        if let Some(g) = (0..self.grades.len()).min_by_key(|&g| self.grades[g].agreed) {
+        // What failed strikes each class by itself in `learn`; an answer is told for each.
+        let classes = if outcome == Outcome::Ok { self.classes.len() } else { 1 };
+        (0..classes).for_each(|g| self.learn(now, n, g, outcome, sums.lag));
+        if let Some(g) = (0..self.classes.len()).min_by_key(|&g| self.classes[g].agreed) {
             self.free(now, n, g, outcome, sums.lag);
         }
     }
@@ -807,9 +807,9 @@
             self.open.iter().partition(|&&r| self.book.held(r).admitted.is_some());
         waiting.sort_by_key(|&r| {
             let held = self.book.held(r);
-            let late = now + self.grades[held.grade].span > held.agreed;
+            let late = now + self.classes[held.class].span > held.agreed;
             let parts = if self.site.by_work { 1 } else { held.parts.len().max(1) };
-            let value = 1e3 * self.grades[held.grade].importance / parts as f64;
+            let value = 1e3 * self.classes[held.class].importance / parts as f64;
             (held.rank + late as u8, Reverse(value as i64))
         });
         for r in sent.into_iter().chain(waiting) {
--- a/src/balance/tests.rs
+++ b/src/balance/tests.rs
@@ -26,19 +26,19 @@
 
 const NOW: Micros = 100_000_000;
 
-/// A router with one grade, two cells and nodes 0 and 1 that each hold every shard.
+/// A router with one class, two cells and nodes 0 and 1 that each hold every shard.
 fn router(effect: &str, more: &[(&str, f64)]) -> Balance {
     let mut settings = Settings::default();
-    settings.set("grade.0.effect", crate::Value::Text(effect.into()));
+    settings.set("class.0.effect", crate::Value::Text(effect.into()));
     settings.set("limits.second_copies", crate::Value::Flag(true));
     settings.set("limits.withdraw", crate::Value::Flag(true));
     let base =
-        [("shards.cells", 2.0), ("shards.width", 2.0), ("grade.0.agreed_us", 1e6), ("limits.shots", 3.0)];
+        [("shards.cells", 2.0), ("shards.width", 2.0), ("class.0.agreed_us", 1e6), ("limits.shots", 3.0)];
     for (name, value) in base.iter().chain(more) {
         settings.set(name, crate::Value::Number(*value));
     }
     let mut router = Balance::new(2, settings);
-    router.grades.push(Grade::new(&router.settings, 0, 32, 64));
+    router.classes.push(Class::new(&router.settings, 0, 32, 64));
     list(&mut router, Listing::Disk, &[(0, Phase::Ready, 0), (1, Phase::Ready, 0)]);
     router
 }
@@ -137,7 +137,7 @@
 
 #[test]
 fn a_keyed_part_is_sent_again_only_while_repeats_are_dropped() {
-    let repeat = [("grade.0.repeat_us", 500_000.0)];
+    let repeat = [("class.0.repeat_us", 500_000.0)];
     assert_eq!(after(&mut router("keyed", &repeat), Outcome::Broken, NOW + 400_000), ["send 11 1"]);
     assert_eq!(after(&mut router("keyed", &repeat), Outcome::Broken, NOW + 499_000), ["10 GivenUp"]);
 }
@@ -159,7 +159,7 @@
 
 #[test]
 fn a_floor_allows_an_answer_at_the_agreed_time_never_marked_whole() {
-    let floor = [("grade.0.floor", 0.5), ("grade.0.part_share", 0.8)];
+    let floor = [("class.0.floor", 0.5), ("class.0.part_share", 0.8)];
     let mut router = router("safe", &floor);
     ask(&mut router, 0, 2);
     settle(&mut router, NOW);
@@ -189,7 +189,7 @@
 
 #[test]
 fn under_the_floor_nothing_is_answered_and_the_end_comes_before_deadline() {
-    let mut router = router("unsafe", &[("grade.0.floor", 0.6), ("grade.0.late_share", 0.3)]);
+    let mut router = router("unsafe", &[("class.0.floor", 0.6), ("class.0.late_share", 0.3)]);
     ask(&mut router, 0, 2);
     settle(&mut router, NOW);
     router.outcome(NOW + 9, 1, 0, 0, Outcome::Ok, 9, &[]);
@@ -199,7 +199,7 @@
 
 #[test]
 fn a_second_step_needs_all_its_parts() {
-    let mut router = router("safe", &[("grade.0.second_step", 1.0)]);
+    let mut router = router("safe", &[("class.0.second_step", 1.0)]);
     ask(&mut router, 0, 1);
     settle(&mut router, NOW);
     router.outcome(NOW + 5, 1, 0, 0, Outcome::Ok, 5, &[]);
@@ -222,7 +222,7 @@
 
 #[test]
 fn an_overdue_node_is_skipped_and_its_part_copied() {
-    let mut router = router("safe", &[("grade.0.late_share", 0.3)]);
+    let mut router = router("safe", &[("class.0.late_share", 0.3)]);
     (0..16).for_each(|_| router.lags.push(NOW, 100_000.0));
     ask(&mut router, 0, 1);
     assert_eq!(settle(&mut router, NOW), ["send 1 0"]);
@@ -343,7 +343,7 @@
 
 #[test]
 fn the_last_try_of_a_client_shows_how_much_of_the_agreed_time_is_gone() {
-    let mut router = router("safe", &[("grade.0.deadline_us", 3e6)]);
+    let mut router = router("safe", &[("class.0.deadline_us", 3e6)]);
     router.retrieval(NOW, 0, 0, 0, NOW + 2_000_000, 0, 1, false);
     assert_eq!(router.book.held(0).agreed, NOW + 1_000_000);
     router.retrieval(NOW, 1, 0, 0, NOW + 2_500_000, 0, 1, false);
@@ -425,7 +425,7 @@
 
 /// A retrieval of four parts that may be answered from half of them; the nodes of `full` turned shots away of late.
 fn floored(floor: f64, full: &[Node]) -> Balance {
-    let mut router = router("safe", &[("grade.0.floor", floor), ("grade.0.part_share", 0.9)]);
+    let mut router = router("safe", &[("class.0.floor", floor), ("class.0.part_share", 0.9)]);
     for &n in full {
         router.nodes[n].fulls = 1;
         router.nodes[n].full_until = NOW - 1;
@@ -522,9 +522,9 @@
 }
 
 #[test]
-fn a_silence_for_one_grade_is_not_held_against_one_that_was_answered() {
+fn a_silence_for_one_class_is_not_held_against_one_that_was_answered() {
     let mut router = router("safe", &[]);
-    router.grades.push(router.grades[0].clone());
+    router.classes.push(router.classes[0].clone());
     router.nodes[0].record_mut(1).last_ok = NOW;
     router.learn(NOW + 5, 0, 0, Outcome::Overdue, 2_000_000);
     assert_eq!((router.nodes[0].record(0).strikes, router.nodes[0].record(1).strikes), (1, 0));
@@ -642,7 +642,7 @@
 }
 
 /// A small fleet on a clock of its own: 40 cells of one shard with two nodes each, 300 routers of which this is one,
-/// a grade of one part and one of twenty. Good nodes answer in 20 ms, full ones turn away in 3 ms.
+/// a class of one part and one of twenty. Good nodes answer in 20 ms, full ones turn away in 3 ms.
 struct Fleet {
     router: Balance,
     full: Vec<Node>,
@@ -688,9 +688,9 @@
             settings.set(name, crate::Value::Number(value));
         }
         for g in 0..2 {
-            settings.set(&format!("grade.{g}.effect"), crate::Value::Text("safe".into()));
-            settings.set(&format!("grade.{g}.agreed_us"), crate::Value::Number(300_000.0));
-            settings.set(&format!("grade.{g}.deadline_us"), crate::Value::Number(1e6));
+            settings.set(&format!("class.{g}.effect"), crate::Value::Text("safe".into()));
+            settings.set(&format!("class.{g}.agreed_us"), crate::Value::Number(300_000.0));
+            settings.set(&format!("class.{g}.deadline_us"), crate::Value::Number(1e6));
         }
         let mut router = Balance::new(3, settings);
         router.list_begins(NOW, Listing::Disk);
@@ -702,17 +702,17 @@
         Fleet { router, full: full.to_vec(), back, trials, now: NOW, ends }
     }
 
-    /// Each second one retrieval of each of these grades; how many of all were not answered whole in time.
-    fn play(mut self, grades: &[usize]) -> usize {
+    /// Each second one retrieval of each of these classes; how many of all were not answered whole in time.
+    fn play(mut self, classes: &[usize]) -> usize {
         let mut router = std::mem::take(&mut self.router);
         for tick in 0..4_400 {
             self.now = NOW + tick * 5_000;
             let (second, of) = (tick as usize / 200, tick % 200);
-            let grade = (of > 0) as usize;
-            if of % 100 == 0 && second < 20 && grades.contains(&grade) {
-                let r = 100 * (2 * second + grade);
-                let parts = [1, 20][grade];
-                router.retrieval(self.now, r, grade, 0, self.now + 1_000_000, 0, parts, false);
+            let class = (of > 0) as usize;
+            if of % 100 == 0 && second < 20 && classes.contains(&class) {
+                let r = 100 * (2 * second + class);
+                let parts = [1, 20][class];
+                router.retrieval(self.now, r, class, 0, self.now + 1_000_000, 0, parts, false);
                 for i in 0..parts {
                     router.part(self.now, r, r + 1 + i, (second + 2 * i) % 40, 1.0 / parts as f64, 0);
                 }
@@ -724,25 +724,25 @@
             }
             router.settle(self.now, &mut self);
         }
-        assert_eq!(self.ends.len(), 20 * grades.len(), "each gets its one answer");
+        assert_eq!(self.ends.len(), 20 * classes.len(), "each gets its one answer");
         self.ends.iter().filter(|end| !end.1).count()
     }
 }
 
 #[test]
-fn after_a_roll_of_half_of_the_nodes_a_fresh_router_refuses_no_grade() {
+fn after_a_roll_of_half_of_the_nodes_a_fresh_router_refuses_no_class() {
     let old = (0..40).map(|cell| (cell, 0));
     let new = (0..40).map(|cell| (cell, NOW - 1_000_000));
     let nodes: Vec<_> = old.chain(new).collect();
-    for grades in [&[0][..], &[1], &[0, 1]] {
-        assert_eq!(Fleet::new(&nodes, &[]).play(grades), 0, "{grades:?}");
+    for classes in [&[0][..], &[1], &[0, 1]] {
+        assert_eq!(Fleet::new(&nodes, &[]).play(classes), 0, "{classes:?}");
     }
 }
 
 #[test]
-fn nodes_that_turn_all_away_hold_no_grade_back_at_a_quiet_router() {
+fn nodes_that_turn_all_away_hold_no_class_back_at_a_quiet_router() {
     let nodes: Vec<_> = (0..80).map(|n| (n % 40, 0)).collect();
-    for grades in [&[0][..], &[1], &[0, 1]] {
-        assert_eq!(Fleet::new(&nodes, &[3, 4, 5, 6]).play(grades), 0, "{grades:?}");
+    for classes in [&[0][..], &[1], &[0, 1]] {
+        assert_eq!(Fleet::new(&nodes, &[3, 4, 5, 6]).play(classes), 0, "{classes:?}");
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! }
 //!
 //! let mut settings = Settings::default();
-//! for (name, value) in [("shards.cells", 1.0), ("shards.width", 1.0), ("grade.0.agreed_us", 1e6)] {
+//! for (name, value) in [("shards.cells", 1.0), ("shards.width", 1.0), ("class.0.agreed_us", 1e6)] {
 //!     settings.set(name, Value::Number(value));
 //! }
 //! let (mut router, mut tape) = (Balance::new(7, settings), Tape::default());
@@ -149,11 +149,11 @@
         up_since: Micros,
     );
     fn list_ends(&mut self, now: Micros, acts: &mut dyn Actions);
-    /// A retrieval of a service grade, to be ended before `until`; its parts follow before `settle`.
+    /// A retrieval of a service class, to be ended before `until`; its parts follow before `settle`.
     /// `work` is a rough figure for all its parts, 0 where there is none.
     #[allow(clippy::too_many_arguments)]
     fn retrieval(
-        &mut self, now: Micros, retrieval: usize, grade: usize, tenant: usize, until: Micros, work: Micros,
+        &mut self, now: Micros, retrieval: usize, class: usize, tenant: usize, until: Micros, work: Micros,
         parts: usize, again: bool,
     );
     fn part(&mut self, now: Micros, retrieval: usize, part: usize, shard: usize, weight: f64, work: Micros);
@@ -169,7 +169,7 @@
     fn client_left(&mut self, now: Micros, retrieval: usize);
     fn probed(&mut self, _now: Micros, _node: Node, _outcome: Outcome, _lag: Micros, _load: &[(&str, f64)]) {}
     fn timer(&mut self, now: Micros, token: u64);
-    /// The answer to a shot of a streamed grade has begun: it is the client's from here on.
+    /// The answer to a shot of a streamed class has begun: it is the client's from here on.
     fn started(&mut self, _now: Micros, _part: usize, _trial: usize, _node: Node, _lag: Micros) {}
     /// Another router sent a few bytes.
     fn told(&mut self, _now: Micros, _peer: usize, _data: &[u8]) {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,9 +69,9 @@
     }
 }
 
-/// What the settings say of a service grade, and what was measured of it.
+/// What the settings say of a service class, and what was measured of it.
 #[derive(Clone, Debug)]
-pub struct Grade {
+pub struct Class {
     pub effect: Effect,
     pub agreed: Micros,
     pub deadline: Micros,
@@ -91,13 +91,13 @@
     pub tries: Samples,
 }
 
-impl Grade {
+impl Class {
     /// Without an agreed time it is the client's deadline; an unnamed figure counts for nothing.
-    pub fn new(settings: &Settings, grade: usize, spans: usize, tries: usize) -> Self {
-        let name = |name| format!("grade.{grade}.{name}");
+    pub fn new(settings: &Settings, class: usize, spans: usize, tries: usize) -> Self {
+        let name = |name| format!("class.{class}.{name}");
         let number = |n, absent| settings.number(&name(n)).unwrap_or(absent);
         let deadline = number("deadline_us", 0.0);
-        Grade {
+        Class {
             effect: Effect::named(settings.text(&name("effect"))),
             agreed: number("agreed_us", deadline) as Micros,
             deadline: deadline as Micros,
@@ -115,10 +115,10 @@
         }
     }
 
-    /// Grows the list of grades to `count`.
-    pub fn know(grades: &mut Vec<Grade>, count: usize, settings: &Settings) {
-        let new = grades.len()..count;
-        grades.extend(new.map(|g| Grade::new(settings, g, 32, 64)));
+    /// Grows the list of classes to `count`.
+    pub fn know(classes: &mut Vec<Class>, count: usize, settings: &Settings) {
+        let new = classes.len()..count;
+        classes.extend(new.map(|g| Class::new(settings, g, 32, 64)));
     }
 }
 
@@ -131,7 +131,7 @@
     pub rest: Micros,
 }
 
-/// Bad ends of a grade's shots since the last good one, until when the node is left alone for them, and
+/// Bad ends of a class's shots since the last good one, until when the node is left alone for them, and
 /// when it last answered.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Record {
@@ -169,7 +169,7 @@
     pub fates: Samples,
     /// Work sent, for the cold allowance.
     pub sent: Samples,
-    /// What it did of late for each service grade.
+    /// What it did of late for each service class.
     pub records: Vec<Record>,
     /// Its last answer, or when its connections were last closed.
     pub heard: Micros,
@@ -213,13 +213,13 @@
         }
     }
 
-    pub fn record(&self, grade: usize) -> Record {
-        self.records.get(grade).copied().unwrap_or_default()
+    pub fn record(&self, class: usize) -> Record {
+        self.records.get(class).copied().unwrap_or_default()
     }
 
     /// Whether it owes an answer since something went wrong.
-    pub fn in_doubt(&self, grade: usize) -> bool {
-        self.struck > 0 || self.record(grade).strikes > 0
+    pub fn in_doubt(&self, class: usize) -> bool {
+        self.struck > 0 || self.record(class).strikes > 0
     }
 
     /// The share of the shots since `from` that it began and did not answer.
@@ -227,11 +227,11 @@
         self.fates.sum(from) / self.fates.count(from).max(1) as f64
     }
 
-    pub fn record_mut(&mut self, grade: usize) -> &mut Record {
-        if self.records.len() <= grade {
-            self.records.resize(grade + 1, Record::default());
+    pub fn record_mut(&mut self, class: usize) -> &mut Record {
+        if self.records.len() <= class {
+            self.records.resize(class + 1, Record::default());
         }
-        &mut self.records[grade]
+        &mut self.records[class]
     }
 
     /// What a list says of it.
@@ -290,7 +290,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Retrieval {
-    pub grade: usize,
+    pub class: usize,
     /// Its place in the queue: the lowest goes first.
     pub rank: u8,
     pub agreed: Micros,
@@ -343,9 +343,9 @@
 }
 
 impl Retrieval {
-    pub fn new(grade: usize, tenant: usize, rank: u8, agreed: Micros, until: Micros, again: bool) -> Self {
+    pub fn new(class: usize, tenant: usize, rank: u8, agreed: Micros, until: Micros, again: bool) -> Self {
         Retrieval {
-            grade,
+            class,
             rank,
             agreed,
             until,
@@ -422,7 +422,7 @@
     pub fn likeness(&self, retrieval: usize) -> [usize; 4] {
         let held = self.held(retrieval);
         let first = held.parts.first().map_or(0, |&p| self.part(p).shard);
-        [held.grade, held.tenant, first, held.parts.len()]
+        [held.class, held.tenant, first, held.parts.len()]
     }
 
     /// Of some parts: the weight answered and the weight that can still be, whether one is waited for, and
