--- a/crates/router/src/objects.rs
+++ b/crates/router/src/objects.rs
@@ -1,5 +1,8 @@
 //! A run of JSON objects as a watch sends them: one behind the other, on one line each or indented over many.
 
+#[cfg(test)]
+mod tests;
+
 /// The longest object or list that is read; some thousands of indented entries.
 pub const MOST_LIST: usize = 2 * 1024 * 1024;
 
@@ -77,40 +80,3 @@
         Ok(Next::More)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn objects(bytes: &[u8], piece: usize) -> Result<Vec<String>, &'static str> {
-        let (mut stream, mut found) = (Objects::default(), Vec::new());
-        for bytes in bytes.chunks(piece) {
-            stream.push(bytes);
-            loop {
-                match stream.next()? {
-                    Next::More => break,
-                    Next::Line => {}
-                    Next::Object(object) => found.push(String::from_utf8(object).expect("text")),
-                }
-            }
-        }
-        Ok(found)
-    }
-
-    #[test]
-    fn objects_end_where_their_brackets_do_however_they_come() {
-        let (one, two) = (r#"{"a":"}\"{","b":[{}]}"#, "{\n  \"a\": [\n    {\"b\": \"\\\\\"}\n  ]\n}");
-        let text = format!("\n{one}\n\n \r\n{two}{one}\n");
-        for piece in 1..=text.len() {
-            assert_eq!(objects(text.as_bytes(), piece), Ok(vec![one.into(), two.into(), one.into()]));
-        }
-    }
-
-    #[test]
-    fn what_is_no_run_of_objects_is_known() {
-        assert!(objects(b"\n[1]\n", 9).is_err());
-        assert!(objects(b"{\"a\":\"b\n{\"a\":1}\n", 9).is_err());
-        assert!(objects(format!("{{{}}}", " ".repeat(MOST_LIST)).as_bytes(), 65_536).is_err());
-        assert!(objects(format!("{}{{}}", "\n".repeat(MOST_LIST)).as_bytes(), 65_536).is_ok());
-    }
-}
--- /dev/null
+++ b/crates/terms/src/names/tests.rs
@@ -0,0 +1,27 @@
+//! The names of settings, lists and load figures.
+
+use super::*;
+
+#[test]
+fn settings_come_under_our_names_in_microseconds() {
+    let json = r#"{"tickNs": 5000000, "new": 1, "registryMode": "ask",
+        "services": [{"idempotency": "read_like", "targetNs": 1500}], "ceilings": {"probes": true}}"#;
+    let got = settings(&serde_json::from_str(json).expect("JSON")).expect("an object");
+    assert_eq!(got.number("tick_us"), Some(5000.0));
+    assert_eq!(got.number("class.0.agreed_us"), Some(1.0));
+    assert_eq!((got.text("class.0.effect"), got.text("list.mode")), ("safe", "asked"));
+    assert!(got.flag("limits.probes") && got.0.len() == 5);
+    assert!(settings(&Json::Array(Vec::new())).is_err());
+}
+
+#[test]
+fn the_table_is_sorted_for_its_search() {
+    assert!(SETTINGS.is_sorted_by(|a, b| a.0 < b.0));
+}
+
+#[test]
+fn load_reports_are_pairs_of_finite_numbers() {
+    assert_eq!(load("active:7,new:0.5", ':'), Some(vec![("held", 7.0), ("new", 0.5)]));
+    assert_eq!(load("inflight=7,util=0.61", '='), Some(vec![("held", 7.0), ("busy", 0.61)]));
+    assert!(["active", "active:x", "cpu:inf"].iter().all(|text| load(text, ':').is_none()));
+}
