No call goes out behind a node's last word; the loop's turns are tested by hand on real connections

Seen: on reading, forced by tests. What comes between the loop's look at its sockets and a write is not read yet: a node that has said `N`, or half a frame, on a connection where nothing was due got the next call there (`Effect::Send` asked only whether the other side had closed), to be reset over it; for an unsafe class that is a failure (502). Where nothing is due any unread byte ends the connection before the write now: the part never ran and goes elsewhere. `start` and the loop of `serve` are two functions, so that tests can take turns by hand (crates/router/src/serve/tests.rs): this one, and a client that connects while the end is decided. Ruled out: a connection on which parts were given up (late answers are due there), calls behind others that are out.

--- a/crates/router/src/effects.rs
+++ b/crates/router/src/effects.rs
@@ -43,8 +43,9 @@
     /// Tell once more what has been received and not taken.
     Read(Conn),
     Write(Conn, Vec<Piece>),
-    /// The same, but nothing is written if the other side is known to have closed: `Event::Ended` follows.
-    Send(Conn, Vec<Piece>),
+    /// The same, but nothing is written if the other side is known to have closed, or to have said something though
+    /// nothing was `due` from it: `Event::Ended` follows.
+    Send(Conn, Vec<Piece>, bool),
     /// Closed here if nothing has come in that is not read yet, and `Event::Ended` says so.
     Part(Conn),
     /// No more is written, what comes is still read.
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -287,6 +287,9 @@
         if link.queue.is_empty() {
             return;
         }
+        // Guards against a call that goes out behind a node's last word, or behind half of one.
+        let due = link.queued().next().is_none()
+            || !(link.out.is_empty() && link.probes.is_empty() && link.stale.is_empty());
         let mut pieces: Vec<Piece> = Vec::new();
         for item in link.queue.drain(..) {
             let first = pieces.len();
@@ -324,7 +327,7 @@
                 }));
             }
         }
-        self.effects.push(Effect::Send(conn, pieces));
+        self.effects.push(Effect::Send(conn, pieces, due));
         self.set_link_alarm(conn);
     }
 
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -80,7 +80,7 @@
                 match effect {
                     Effect::Adopt(conn) => self.adopted.push(conn),
                     Effect::Connect(conn, to) => self.links.push((conn, to.port())),
-                    Effect::Write(conn, pieces) | Effect::Send(conn, pieces) => {
+                    Effect::Write(conn, pieces) | Effect::Send(conn, pieces, _) => {
                         let bytes = pieces.iter().flat_map(|piece: &Piece| piece.to_vec());
                         let left = if self.slow { 12 } else { usize::MAX };
                         self.written.entry(conn).or_default().extend(bytes.take(left));
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,5 +1,8 @@
 //! The loop: sockets, signals and the clock. It tells the reducer what came and carries out what it asks.
 
+#[cfg(test)]
+mod tests;
+
 use crate::config::Config;
 use crate::effects::{Conn, Effect, Event, Piece};
 use crate::http::{MOST_BODY, MOST_REQUEST};
@@ -105,9 +108,21 @@
 }
 
 pub fn serve(signals: Heeded, config: Config, path: String) -> Result<(), String> {
+    let (mut events, mut server) = start(signals, config, path)?;
+    while !server.done {
+        let wait = server.wait();
+        events.dispatch(wait, &mut server).map_err(|e| format!("event loop: {e}"))?;
+        server.turn();
+    }
+    print(&server.router.desk.counters.lines());
+    Ok(())
+}
+
+type Started = (EventLoop<'static, Server>, Server);
+
+fn start(signals: Heeded, config: Config, path: String) -> Result<Started, String> {
     let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
-    let mut events: EventLoop<'static, Server> =
-        EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
+    let events = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
     let handle = events.handle();
     let listen = TcpListener::bind(config.listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
     let listener = Rc::new(listen.map_err(|e| failed(&format!("listen on {}", config.listen), &e))?);
@@ -149,13 +164,7 @@
         done: false,
     };
     server.settle();
-    while !server.done {
-        let wait = server.wait();
-        events.dispatch(wait, &mut server).map_err(|e| failed("event loop", &e))?;
-        server.turn();
-    }
-    print(&server.router.desk.counters.lines());
-    Ok(())
+    Ok((events, server))
 }
 
 /// Prints to standard error, to which nobody may listen any more.
@@ -306,8 +315,8 @@
                     self.write(conn);
                 }
             }
-            Effect::Send(conn, pieces) => {
-                if self.unread(conn) == Some(0) {
+            Effect::Send(conn, pieces, due) => {
+                if self.unread(conn).is_some_and(|bytes| bytes == 0 || !due) {
                     return self.fail(conn);
                 }
                 self.effect(Effect::Write(conn, pieces));
