--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -57,11 +57,8 @@
         let sockets = field("/limits/sockets")?;
         let memory = match field("/limits/memory_mb") {
             Ok(most) => {
-                let most = most
-                    .as_u64()
-                    .filter(|&mb| mb > 0)
-                    .ok_or("limits/memory_mb: it is not a positive whole number")?;
-                Some((most as usize).saturating_mul(1 << 20))
+                let most = most.as_f64().filter(|&mb| mb > 0.0);
+                Some((most.ok_or("limits/memory_mb: it is not a positive number")? * 1_048_576.0) as usize)
             }
             Err(_) => None,
         };
--- a/crates/router/src/config/tests.rs
+++ b/crates/router/src/config/tests.rs
@@ -12,6 +12,11 @@
     let config = Config::parse(&whole.to_string()).expect("fit to serve");
     assert_eq!((config.seed, config.sockets), (0x8c1f30d27a5be964, 64));
     assert_eq!(config.memory, Some(48 << 20));
+    for (stated, memory) in [(Json::Null, None), (1.5.into(), Some(3 << 19))] {
+        let mut config = whole.clone();
+        config["limits"]["memory_mb"] = stated;
+        assert_eq!(Config::parse(&config.to_string()).expect("fit to serve").memory, memory);
+    }
     for (path, value, names) in [
         ("/name", Json::Null, "name"),
         ("/listen", "nowhere".into(), "listen"),
@@ -19,6 +24,7 @@
         ("/known/members", 3.into(), "known.members"),
         ("/limits/sockets", "many".into(), "limits/sockets"),
         ("/limits/memory_mb", 0.into(), "limits/memory_mb"),
+        ("/limits/memory_mb", "48".into(), "limits/memory_mb"),
         ("/settings/services/0/deadlineNs", 0.into(), "deadlineNs"),
         ("/settings/services/0/idempotency", "idempotency_key".into(), "idempotency_key"),
         ("/settings/familyInfo/shards", Json::Null, "familyInfo.shards"),
