A call that waits for a socket goes with its query: the router ended when a forgotten one's turn came

Seen: a test of a client that leaves while its query waits for a socket ended the process, panicked at crates/router/src/scatter.rs:89:61: invalid key At fault: `give_up` only marked what no connection had taken as over; its place in `Scatter::calls` stayed. Outside a settle (a client that leaves, an attempt whose own time is over, a drain) the module forgets the query in the settle that follows, its parts' indices are free, and `write_calls`, which comes behind, looks them up: a panic, or, once the index is another part's, that one's call sent twice. The untouched program ends so where nothing may be withdrawn (settings.ceilings.cancelling false) and descriptors are short: seen with the first test on it (`the head of "" ends early`). Calls are taken out where they are given up (`Scatter::take_back`). Ruled out: queues of connections (`leave` takes them out). Tests: two with real connections, three of the reducer; seen to fail: time over on the untouched program, client's leave without this mend.

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -354,3 +354,43 @@
     let log = router.end();
     assert!(log.contains("shots_unsent 0\n") && log.contains("calls_handed_over 1\n"), "{log}");
 }
+
+/// A router with room for discovery's watch and one client.
+fn with_two_sockets(name: &str, node: &Node) -> (Router, Discovery) {
+    let discovery = one(node.at);
+    let mut config = config(discovery.at, LONG);
+    config["limits"]["sockets"] = 18.into();
+    // What is out can't be withdrawn, so it ends by its own time.
+    config["settings"]["ceilings"]["cancelling"] = false.into();
+    (Router::start(name, &config), discovery)
+}
+
+#[test]
+fn a_query_that_waits_for_a_socket_until_its_time_is_over_ends_alone() {
+    let node = Node::new();
+    let (router, _discovery) = with_two_sockets("socket", &node);
+    let mut client = router.connect();
+    for id in ["t1", "t2"] {
+        client.ask("look", id, Duration::from_millis(300));
+        assert_eq!(client.answer().0, "HTTP/1.1 503 Service Unavailable");
+    }
+    drop(client);
+    let log = router.end();
+    assert!(node.is_untouched() && log.contains("shots_unsent 2\n"), "{log}");
+}
+
+#[test]
+fn a_query_whose_client_left_while_it_waited_for_a_socket_ends_alone() {
+    let node = Node::new();
+    let (mut router, _discovery) = with_two_sockets("left-socket", &node);
+    let mut client = router.connect();
+    client.ask("look", "t1", LONG);
+    router.until_reported("shots_asked", 1);
+    drop(client);
+    let mut client = router.connect();
+    client.ask("look", "t2", Duration::from_millis(300));
+    assert_eq!(client.answer().0, "HTTP/1.1 503 Service Unavailable");
+    drop(client);
+    let log = router.end();
+    assert!(node.is_untouched() && log.contains("retrievals_left_by_client 1\n"), "{log}");
+}
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -88,6 +88,24 @@
         }
     }
 
+    /// Waits until a counter stands at this or more, by what it logs when asked: no connection is needed.
+    pub fn until_reported(&mut self, name: &str, least: u64) {
+        let since = Instant::now();
+        let mut figure: Option<u64> = None;
+        while figure.is_none_or(|figure| figure < least) {
+            assert!(since.elapsed() < AT_MOST, "{name} never came to {least}");
+            self.signal(Signal::USR1);
+            let mut line = String::new();
+            while !line.starts_with("broken_invariants ") {
+                line.clear();
+                assert!(self.log.read_line(&mut line).expect("a line") > 0, "it ended");
+                if let Some(value) = line.strip_prefix(name).and_then(|rest| rest.strip_prefix(' ')) {
+                    figure = value.trim().parse().ok();
+                }
+            }
+        }
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32).expect("a process");
         kill_process(pid, signal).expect("it runs");
--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -259,6 +259,47 @@
     assert_eq!(bench.said(link), "");
 }
 
+#[test]
+fn a_query_whose_client_left_is_not_sent_once_a_socket_is_free() {
+    let mut bench = Bench::new();
+    let _clients: Vec<Conn> = (0..4).map(|_| bench.client()).collect();
+    let client = bench.ask("pay", "t1");
+    assert_eq!((bench.links.len(), bench.router.desk.counters.shots_asked), (1, 2), "discovery's alone");
+    bench.tell(Event::Ended(client, 0));
+    bench.pass(500_000);
+    assert_eq!((bench.links.len(), bench.router.desk.counters.shots_unsent), (1, 2));
+    assert_eq!(bench.router.desk.gather.parts.len(), 0);
+}
+
+#[test]
+fn a_query_that_waits_for_a_socket_until_its_time_is_over_ends_alone() {
+    // Nothing is withdrawn here, so what waits ends by its own time, in the turn in which its query is forgotten.
+    let mut bench = Bench::of(&CONFIG.replace("\"cancelling\":true", "\"cancelling\":false"));
+    let clients: Vec<Conn> = (0..4).map(|_| bench.client()).collect();
+    let client = bench.ask("look", "t1");
+    bench.pass(1_600_000);
+    assert!(bench.said(client).starts_with("HTTP/1.1 503"), "{}", bench.said(client));
+    // What is asked next gets the indices of the one before, and nothing of it.
+    bench.ask("pay", "t2");
+    bench.tell(Event::Ended(clients[0], 0));
+    bench.settle();
+    let (link, _) = bench.up();
+    assert!(bench.said(link).contains("t2.0") && !bench.said(link).contains("t1"), "{}", bench.said(link));
+    assert_eq!(bench.router.desk.counters.shots_sent, 2);
+}
+
+#[test]
+fn what_is_half_written_as_its_client_leaves_ends_with_its_connection() {
+    let mut bench = Bench::new();
+    let client = bench.ask("look", "t1");
+    bench.slow = true;
+    let (link, _) = bench.up();
+    assert_eq!(bench.said(link).len(), 12);
+    bench.tell(Event::Ended(client, 0));
+    assert!(bench.closed.contains(&link));
+    assert_eq!(bench.router.desk.counters.shots_unsent, 2);
+}
+
 #[test]
 fn a_frame_half_written_ends_with_its_connection_when_a_part_is_given_up() {
     let mut bench = Bench::new();
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -54,6 +54,15 @@
         }
     }
 
+    /// Takes back a shot that no connection took yet. Guards against one whose query is forgotten, and whose index
+    /// is another's by the time a socket is free.
+    fn take_back(&mut self, shot: ShotId) {
+        self.calls.retain_mut(|call| {
+            call.1.retain(|&waiting| waiting != shot);
+            !call.1.is_empty()
+        });
+    }
+
     /// The shots for a node that no connection took yet.
     pub fn waiting(&self, node: Node) -> Vec<ShotId> {
         self.calls.iter().filter(|call| call.0 == node).flat_map(|call| call.1.clone()).collect()
@@ -85,11 +94,7 @@
     /// Puts the calls of this settle on connections.
     pub fn write_calls(&mut self) {
         let mut touched: Vec<Conn> = self.hand_over();
-        for (node, mut shots) in std::mem::take(&mut self.scatter.calls) {
-            shots.retain(|&(part, trial)| !self.gather.parts[part].shots[trial].over);
-            if shots.is_empty() {
-                continue;
-            }
+        for (node, shots) in std::mem::take(&mut self.scatter.calls) {
             if self.scatter.nodes[node].at.is_none() {
                 shots.into_iter().for_each(|(part, trial)| self.report(part, trial, Outcome::Unreachable));
                 continue;
@@ -133,7 +138,10 @@
         if shot.over {
             return;
         }
-        let Some(conn) = shot.link else { return self.report(part, trial, Outcome::Unsent) };
+        let Some(conn) = shot.link else {
+            self.scatter.take_back((part, trial));
+            return self.report(part, trial, Outcome::Unsent);
+        };
         // Something was due if another shot was answered first, or in the time that a connection may take.
         let held = &self.gather.parts[part];
         let due = held.value.is_some() || self.now - shot.at >= self.scatter.connect;
