--- a/crates/router/src/reducer/tests.rs
+++ b/crates/router/src/reducer/tests.rs
@@ -1,5 +1,7 @@
 //! The reducer, told plain values.
 
+mod disorder;
+
 use super::*;
 use crate::effects::Piece;
 use crate::frames;
