--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -195,7 +195,7 @@
 
 /// A discovery served by the test: the next call's request line, and the connection to answer it on.
 fn call(listener: &TcpListener) -> (String, TcpStream) {
-    let (stream, _) = listener.accept().expect("a call");
+    let stream = rig::accept(listener).0;
     let mut lines = BufReader::new(stream.try_clone().expect("a connection")).lines();
     let request = lines.next().expect("a line").expect("a request");
     (request, stream)
@@ -240,6 +240,41 @@
     router.end();
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_begun_anew_before_it_counts_as_failed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let router = Router::start("silent", &config(listener.local_addr().expect("an address"), LONG));
+    let (_, mut watch) = call(&listener);
+    write!(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("the router reads");
+    told(&mut watch, &[json!({"revision": 8, "complete": true, "members": []})]);
+    // Nothing more is said, and the connection stays.
+    let (request, _again) = call(&listener);
+    assert!(request.contains("watch=1&after=8"), "{request}");
+    assert_eq!((router.counter("watches_silent"), router.counter("discovery_failures")), (1, 0));
+    router.end();
+    drop(watch);
+}
+
+#[test]
+fn a_head_that_never_ends_does_not_keep_a_watch() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let router = Router::start("trickle", &config(listener.local_addr().expect("an address"), LONG));
+    let (_, mut watch) = call(&listener);
+    // A byte every tenth of a second, for as long as the router takes them.
+    let trickle = std::thread::spawn(move || {
+        let _ = watch.write_all(b"HTTP/1.1 200 OK\r\nX-Slow: ");
+        let sent = (0..300).take_while(|_| {
+            std::thread::sleep(Duration::from_millis(100));
+            watch.write_all(b"x").is_ok()
+        });
+        sent.count()
+    });
+    let (_, _again) = call(&listener);
+    assert!(trickle.join().expect("a count") < 300, "the first is not closed");
+    assert_eq!(router.counter("discovery_failures"), 1);
+    router.end();
+}
+
 #[test]
 fn signals_may_come_in_any_order_and_more_than_once() {
     let node = Node::new();
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -302,7 +302,7 @@
 }
 
 /// Waits for a connection, but not for ever.
-fn accept(listener: &TcpListener) -> NodeEnd {
+pub fn accept(listener: &TcpListener) -> NodeEnd {
     listener.set_nonblocking(true).expect("a mode");
     let since = Instant::now();
     loop {
@@ -322,7 +322,7 @@
 }
 
 /// A data node's end of a connection.
-pub struct NodeEnd(TcpStream);
+pub struct NodeEnd(pub TcpStream);
 
 impl NodeEnd {
     /// The letter and the text of the next frame.
