One way to put a call on a connection, for new calls and for those handed over

`hand_over` wrote again what `write_calls` had: the ids of a call's parts and the note of its connection.

--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -206,15 +206,11 @@
         for (conn, node) in waiting {
             while let Some(at) = self.link(conn).queue.iter().position(|item| matches!(item, Item::Call(_))) {
                 let Item::Call(shots) = &self.link(conn).queue[at] else { break };
-                let ids: Vec<Rc<str>> =
-                    shots.clone().iter().map(|s| self.gather.parts[s.0].id.clone()).collect();
-                let Some((0, to)) = self.best_link(node, &ids) else { break };
-                let Some(Item::Call(shots)) = self.link(conn).queue.remove(at) else { break };
-                for &(part, trial) in &shots {
-                    self.gather.parts[part].shots[trial].link = Some(to);
-                }
+                let shots = shots.clone();
+                let Some((0, to)) = self.best_link(node, &self.ids(&shots)) else { break };
+                self.link(conn).queue.remove(at);
                 self.counters.calls_handed_over += 1;
-                self.link(to).call(shots);
+                self.put_on(to, shots);
                 touched.push(to);
             }
         }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// The ids of these shots' parts on the sockets.
+    pub fn ids(&self, shots: &[ShotId]) -> Vec<Rc<str>> {
+        shots.iter().map(|shot| self.gather.parts[shot.0].id.clone()).collect()
+    }
+
+    /// Has a call wait on a connection.
+    pub fn put_on(&mut self, conn: Conn, shots: Vec<ShotId>) {
+        for &(part, trial) in &shots {
+            self.gather.parts[part].shots[trial].link = Some(conn);
+        }
+        self.link(conn).call(shots);
+    }
+
     /// Puts the calls of this settle on connections.
     pub fn write_calls(&mut self) {
         let mut touched: Vec<Conn> = self.hand_over();
@@ -99,13 +112,9 @@
                 shots.into_iter().for_each(|(part, trial)| self.report(part, trial, Outcome::Unreachable));
                 continue;
             }
-            let ids: Vec<Rc<str>> = shots.iter().map(|s| self.gather.parts[s.0].id.clone()).collect();
-            match self.link_for(node, &ids) {
+            match self.link_for(node, &self.ids(&shots)) {
                 Some(conn) => {
-                    for &(part, trial) in &shots {
-                        self.gather.parts[part].shots[trial].link = Some(conn);
-                    }
-                    self.link(conn).call(shots);
+                    self.put_on(conn, shots);
                     touched.push(conn);
                 }
                 // Short of sockets: that says nothing of the node, so the call waits until one is free.
