Failing tests: system calls that fail for a moment stop or confuse the router

A library for tests (fault-shim, told what to do by fault-control) makes system calls of a process fail through a system-call filter of its own, so calls that bypass the C library are covered too.

--- a/crates/cli/tests/loopback/main.rs
+++ b/crates/cli/tests/loopback/main.rs
@@ -7,3 +7,4 @@
 mod rig;
 mod serving;
 mod shutdown;
+mod system_calls;
--- a/crates/cli/tests/loopback/rig/mod.rs
+++ b/crates/cli/tests/loopback/rig/mod.rs
@@ -5,12 +5,14 @@
 mod config_file;
 mod data_node;
 mod discovery;
+mod faulty_router;
 mod router_process;
 
 pub use client::{Client, query};
 pub use config_file::BlockingConfigFile;
 pub use data_node::{DataNode, FullBacklogNode, frame};
 pub use discovery::ScriptedDiscovery;
+pub use faulty_router::FaultyRouter;
 pub use router_process::RouterProcess;
 
 use data_node::accept;
@@ -45,6 +47,11 @@
     Discovery::start(8, vec![member("a", &node.to_string(), "z", 0, "ready", 0)])
 }
 
+/// An entry of the endpoint list: a node that is ready and started at this time.
+pub fn node_entry(id: &str, node: SocketAddr, up_since_ms: i64) -> Json {
+    member(id, &node.to_string(), "z", 0, "ready", up_since_ms)
+}
+
 /// A router with one node, once it knows that node.
 pub fn start_with_node(name: &str, node: SocketAddr, deadline: Duration) -> (RouterProcess, Discovery) {
     let discovery = discovery_with_node(node);
--- a/crates/cli/tests/loopback/rig/router_process.rs
+++ b/crates/cli/tests/loopback/rig/router_process.rs
@@ -4,6 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value as Json;
 use std::io::{BufRead, BufReader, Read};
+use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -27,8 +28,15 @@
 
     /// Starts a router that reads this configuration file, and waits for nothing.
     pub fn spawn(config_path: &str) -> RouterProcess {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_query-router"))
-            .args(["serve", "--config", config_path])
+        let program = Command::new(env!("CARGO_BIN_EXE_query-router"));
+        RouterProcess::spawn_command(program, config_path.as_ref())
+    }
+
+    /// Starts a router by this command, with this configuration file, and waits for nothing.
+    pub fn spawn_command(mut command: Command, config_path: &Path) -> RouterProcess {
+        let mut child = command
+            .args(["serve", "--config"])
+            .arg(config_path)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the router starts");
--- /dev/null
+++ b/crates/cli/tests/loopback/system_calls.rs
@@ -0,0 +1,106 @@
+//! System calls that fail for a moment, and a wall clock that is wrong: the router serves as if nothing had happened.
+
+use crate::rig::{Client, FaultyRouter, LONG_DEADLINE, config, discovery_with_node};
+use fault_control::{Call, Control, Fault};
+use std::time::Instant;
+use test_servers::data_node;
+
+/// How often a test repeats a query.
+const REPETITIONS: usize = 60;
+
+/// Asks for shard 0 and expects its value.
+fn ask(client: &mut Client, id: &str) {
+    client.send_query("look", id, LONG_DEADLINE);
+    let (status, body) = client.read_response();
+    assert_eq!(status, "HTTP/1.1 200 OK", "{id}: {body}");
+}
+
+/// Sends queries one after another while a share of the calls of a group fails, then shuts the router down. Returns
+/// the log.
+fn serve_with_faults(name: &str, call: Call, per_mille: u32, faults: &[Fault]) -> String {
+    let discovery = discovery_with_node(data_node());
+    let router = FaultyRouter::start(name, &config(discovery.at, LONG_DEADLINE), |_| {});
+    router.process.wait_for_counter("endpoint_lists_full", 2);
+    router.control.set_rate(call, per_mille, faults);
+    let mut client = router.process.connect();
+    for index in 0..REPETITIONS {
+        ask(&mut client, &format!("t{index}"));
+        let mut other = router.process.connect();
+        ask(&mut other, &format!("u{index}"));
+    }
+    assert!(router.control.injected(call) > 0, "no call of {call:?} failed");
+    router.control.clear();
+    drop(client);
+    router.process.terminate()
+}
+
+fn counter(log: &str, name: &str) -> u64 {
+    let value = log.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.expect("a counter of this name").parse().expect("a number")
+}
+
+#[test]
+fn interrupted_look_at_a_connection_is_not_taken_for_its_end() {
+    let interruptions = [Fault::Error(libc::EINTR), Fault::Error(libc::ENOMEM)];
+    let log = serve_with_faults("interrupted-look", Call::Peek, 400, &interruptions);
+    assert_eq!(counter(&log, "attempts_not_sent"), 0, "{log}");
+    assert_eq!(counter(&log, "node_connections_opened"), 1, "{log}");
+}
+
+#[test]
+fn clients_are_accepted_although_accepting_fails_for_a_moment() {
+    let errors = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EPROTO, libc::ENETDOWN, libc::EINTR];
+    serve_with_faults("faulty-accepts", Call::Accept, 400, &errors.map(Fault::Error));
+}
+
+#[test]
+fn event_loop_survives_interrupted_waits_and_reads_of_signals() {
+    let faults = [Fault::Error(libc::EINTR)];
+    serve_with_faults("interrupted-waits", Call::Wait, 300, &faults);
+    let discovery = discovery_with_node(data_node());
+    let router = FaultyRouter::start("interrupted-signals", &config(discovery.at, LONG_DEADLINE), |_| {});
+    router.process.wait_for_counter("endpoint_lists_full", 2);
+    router.control.fail_next(Call::ReadSignal, 3, Fault::Error(libc::EINTR));
+    router.process.signal(rustix::process::Signal::USR1);
+    let mut client = router.process.connect();
+    ask(&mut client, "t1");
+    drop(client);
+    assert_eq!(router.control.injected(Call::ReadSignal), 3);
+    router.process.terminate();
+}
+
+#[test]
+fn router_starts_although_the_first_calls_fail() {
+    let cases = [
+        (Call::Socket, libc::ENOBUFS),
+        (Call::Socket, libc::ENFILE),
+        (Call::Open, libc::ENFILE),
+        (Call::Register, libc::ENOMEM),
+    ];
+    for (index, (call, error)) in cases.into_iter().enumerate() {
+        let discovery = discovery_with_node(data_node());
+        let prepare = |control: &Control| control.fail_next(call, 2, Fault::Error(error));
+        let name = format!("faulty-start-{index}");
+        let router = FaultyRouter::start(&name, &config(discovery.at, LONG_DEADLINE), prepare);
+        assert_eq!(router.control.injected(call), 2, "{call:?}");
+        router.process.wait_for_counter("endpoint_lists_full", 2);
+        ask(&mut router.process.connect(), "t1");
+        router.process.terminate();
+    }
+}
+
+#[test]
+fn wall_clock_stepped_while_the_router_runs_changes_no_deadline() {
+    let discovery = discovery_with_node(data_node());
+    let router = FaultyRouter::start("clock-stepped", &config(discovery.at, LONG_DEADLINE), |_| {});
+    router.process.wait_for_counter("endpoint_lists_full", 2);
+    let mut client = router.process.connect();
+    let started = Instant::now();
+    for (index, shift_ms) in [3_600_000, -3_600_000, 5_000, 0].into_iter().enumerate() {
+        router.control.set_wall_clock_shift_ms(shift_ms);
+        ask(&mut client, &format!("t{index}"));
+    }
+    assert!(started.elapsed() < LONG_DEADLINE);
+    drop(client);
+    router.process.terminate();
+}
--- /dev/null
+++ b/crates/fault-shim/src/handler.rs
@@ -0,0 +1,146 @@
+//! The handler of SIGSYS: fails a filtered call, shortens it, holds it up, or carries it out.
+
+use crate::raw_call::raw_call;
+use fault_control::{Call, Control, Fault};
+use libc::{c_int, c_long, c_void, siginfo_t, ucontext_t};
+use std::sync::atomic::{AtomicPtr, Ordering};
+
+/// The calls that raise SIGSYS.
+pub const FILTERED_CALLS: [c_long; 20] = [
+    libc::SYS_read,
+    libc::SYS_write,
+    libc::SYS_open,
+    libc::SYS_readv,
+    libc::SYS_writev,
+    libc::SYS_accept,
+    libc::SYS_accept4,
+    libc::SYS_socket,
+    libc::SYS_connect,
+    libc::SYS_recvfrom,
+    libc::SYS_recvmsg,
+    libc::SYS_sendto,
+    libc::SYS_sendmsg,
+    libc::SYS_getsockopt,
+    libc::SYS_setsockopt,
+    libc::SYS_getpeername,
+    libc::SYS_epoll_wait,
+    libc::SYS_epoll_pwait,
+    libc::SYS_epoll_ctl,
+    libc::SYS_openat,
+];
+
+static CONTROL: AtomicPtr<Control> = AtomicPtr::new(std::ptr::null_mut());
+
+/// Handles SIGSYS as the control file says.
+pub fn install(control: &'static Control) {
+    CONTROL.store(std::ptr::from_ref(control).cast_mut(), Ordering::SeqCst);
+    // SAFETY: the action is set up in full; the handler allocates nothing.
+    let installed = unsafe {
+        let mut action: libc::sigaction = std::mem::zeroed();
+        action.sa_sigaction = handle as *const () as usize;
+        action.sa_flags = libc::SA_SIGINFO | libc::SA_NODEFER;
+        libc::sigaction(libc::SIGSYS, &raw const action, std::ptr::null_mut()) == 0
+    };
+    if !installed {
+        std::process::abort();
+    }
+}
+
+extern "C" fn handle(_signal: c_int, _info: *mut siginfo_t, context: *mut c_void) {
+    // SAFETY: the kernel passes the context of the interrupted thread; the control file is never unmapped.
+    let (registers, control) = unsafe {
+        let context = &mut *context.cast::<ucontext_t>();
+        (&mut context.uc_mcontext.gregs, &*CONTROL.load(Ordering::SeqCst))
+    };
+    let number = registers[libc::REG_RAX as usize];
+    let arguments = [libc::REG_RDI, libc::REG_RSI, libc::REG_RDX, libc::REG_R10, libc::REG_R8, libc::REG_R9]
+        .map(|register| registers[register as usize]);
+    registers[libc::REG_RAX as usize] = carry_out(control, number, arguments);
+}
+
+fn carry_out(control: &Control, number: c_long, arguments: [i64; 6]) -> i64 {
+    let fault = group(number, &arguments).and_then(|call| control.draw(call));
+    match fault {
+        Some(Fault::Error(error)) => return -i64::from(error),
+        Some(Fault::Short) => return shorten(number, arguments),
+        Some(Fault::Delay) => pause(control.delay_ms()),
+        None => {}
+    }
+    // SAFETY: these are the arguments of the process under test.
+    unsafe { raw_call(number, arguments) }
+}
+
+/// The group of a call, `None` if it gets no fault.
+fn group(number: c_long, arguments: &[i64; 6]) -> Option<Call> {
+    let descriptor = arguments[0];
+    Some(match number {
+        libc::SYS_accept | libc::SYS_accept4 => Call::Accept,
+        libc::SYS_socket => Call::Socket,
+        libc::SYS_connect => Call::Connect,
+        libc::SYS_recvfrom if arguments[3] & i64::from(libc::MSG_PEEK) != 0 => Call::Peek,
+        libc::SYS_recvfrom | libc::SYS_recvmsg => Call::Receive,
+        libc::SYS_read | libc::SYS_readv if is_socket(descriptor) => Call::Receive,
+        libc::SYS_read if is_anonymous(descriptor) => Call::ReadSignal,
+        libc::SYS_sendto | libc::SYS_sendmsg => Call::Send,
+        libc::SYS_write | libc::SYS_writev if is_socket(descriptor) => Call::Send,
+        libc::SYS_epoll_wait | libc::SYS_epoll_pwait => Call::Wait,
+        libc::SYS_epoll_ctl if arguments[1] == i64::from(libc::EPOLL_CTL_ADD) => Call::Register,
+        libc::SYS_getsockopt | libc::SYS_setsockopt => Call::SocketOption,
+        libc::SYS_getpeername => Call::PeerName,
+        libc::SYS_open | libc::SYS_openat => Call::Open,
+        _ => return None,
+    })
+}
+
+/// The type bits of a descriptor's mode; 0 for a descriptor of the kernel's own, such as that of signals.
+fn file_type(descriptor: i64) -> Option<u32> {
+    // SAFETY: a zeroed `stat` is valid, and the call fills it in.
+    unsafe {
+        let mut stat: libc::stat = std::mem::zeroed();
+        let arguments = [descriptor, &raw mut stat as i64, 0, 0, 0, 0];
+        (raw_call(libc::SYS_fstat, arguments) == 0).then_some(stat.st_mode & libc::S_IFMT)
+    }
+}
+
+fn is_socket(descriptor: i64) -> bool {
+    file_type(descriptor) == Some(libc::S_IFSOCK)
+}
+
+fn is_anonymous(descriptor: i64) -> bool {
+    file_type(descriptor) == Some(0)
+}
+
+/// Carries out a transfer for one byte at most. Calls that transfer nothing are carried out as they are.
+fn shorten(number: c_long, mut arguments: [i64; 6]) -> i64 {
+    match number {
+        libc::SYS_read | libc::SYS_write | libc::SYS_recvfrom | libc::SYS_sendto => {
+            arguments[2] = arguments[2].min(1);
+            // SAFETY: fewer bytes of the buffer of the process under test.
+            unsafe { raw_call(number, arguments) }
+        }
+        libc::SYS_writev | libc::SYS_readv => {
+            // SAFETY: the process under test passes this many valid vectors.
+            let vectors = unsafe {
+                std::slice::from_raw_parts(arguments[1] as *const libc::iovec, arguments[2].max(0) as usize)
+            };
+            let Some(first) = vectors.iter().find(|vector| vector.iov_len > 0) else {
+                // SAFETY: the arguments of the process under test.
+                return unsafe { raw_call(number, arguments) };
+            };
+            let single = if number == libc::SYS_writev { libc::SYS_write } else { libc::SYS_read };
+            // SAFETY: the first byte of a vector of the process under test.
+            unsafe { raw_call(single, [arguments[0], first.iov_base as i64, 1, 0, 0, 0]) }
+        }
+        // SAFETY: the arguments of the process under test.
+        _ => unsafe { raw_call(number, arguments) },
+    }
+}
+
+fn pause(milliseconds: u64) {
+    let time = libc::timespec {
+        tv_sec: (milliseconds / 1000) as i64,
+        tv_nsec: (milliseconds % 1000 * 1_000_000) as i64,
+    };
+    // SAFETY: the time lives until the call returns.
+    unsafe { raw_call(libc::SYS_nanosleep, [&raw const time as i64, 0, 0, 0, 0, 0]) };
+}
--- /dev/null
+++ b/crates/fault-shim/src/wall_clock.rs
@@ -0,0 +1,43 @@
+//! The wall clock of the process under test: the system's, shifted as the control file says.
+
+use crate::raw_call::raw_call;
+use fault_control::Control;
+use libc::{c_int, clockid_t, timespec};
+use std::sync::atomic::{AtomicPtr, Ordering};
+
+const NANOSECONDS_PER_SECOND: i64 = 1_000_000_000;
+const NANOSECONDS_PER_MILLISECOND: i64 = 1_000_000;
+
+static CONTROL: AtomicPtr<Control> = AtomicPtr::new(std::ptr::null_mut());
+
+/// Shifts the wall clock as the control file says.
+pub fn install(control: &'static Control) {
+    CONTROL.store(std::ptr::from_ref(control).cast_mut(), Ordering::SeqCst);
+}
+
+/// Replaces the C library's function, through which the standard library reads all clocks.
+///
+/// # Safety
+///
+/// As for the C library's function.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller passes a valid place.
+    let result = unsafe { raw_call(libc::SYS_clock_gettime, [i64::from(clock), time as i64, 0, 0, 0, 0]) };
+    if result < 0 {
+        // SAFETY: the thread's own error number.
+        unsafe { *libc::__errno_location() = -result as c_int };
+        return -1;
+    }
+    // SAFETY: the library's control file is never unmapped.
+    let control = unsafe { CONTROL.load(Ordering::SeqCst).as_ref() };
+    if let Some(control) = control.filter(|_| clock == libc::CLOCK_REALTIME) {
+        // SAFETY: the call has filled the place in.
+        let time = unsafe { &mut *time };
+        let shift = control.wall_clock_shift_ms();
+        let total = time.tv_nsec + shift % 1000 * NANOSECONDS_PER_MILLISECOND;
+        time.tv_sec += shift / 1000 + total.div_euclid(NANOSECONDS_PER_SECOND);
+        time.tv_nsec = total.rem_euclid(NANOSECONDS_PER_SECOND);
+    }
+    0
+}
