A call that fails for a moment neither ends the router nor counts as a connection's end

Cause: socket.rs took any error of a look at a connection (EINTR too) for its end; calloop's signal source returns the error of a read, and serve ended with it (with the events of that wait lost); the first socket, open or epoll_ctl that failed ended the start. Ruled out: accept, whose test passes unchanged.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -29,10 +29,14 @@
     Version(version::Version),
 }
 
-/// Reads the platform's configuration from `path`, or else from where `$LB_CONFIG` says. Returns it with its
-/// path.
+/// The path of the platform's configuration: `path`, or else what `$LB_CONFIG` says.
+fn configuration_path(path: Option<String>) -> Result<String, CliError> {
+    path.or_else(|| std::env::var("LB_CONFIG").ok()).ok_or(CliError::NoConfiguration)
+}
+
+/// Reads the platform's configuration. Returns it with its path.
 fn read_configuration(path: Option<String>) -> Result<(Config, String), CliError> {
-    let path = path.or_else(|| std::env::var("LB_CONFIG").ok()).ok_or(CliError::NoConfiguration)?;
+    let path = configuration_path(path)?;
     Ok((Config::read(&path)?, path))
 }
 
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,6 +1,6 @@
 //! The sub-command `serve`.
 
-use crate::{CliError, log_to_stderr, read_configuration, read_operator_file};
+use crate::{CliError, configuration_path, log_to_stderr, read_operator_file};
 use argh::FromArgs;
 
 /// Serve queries on sockets until a signal asks for the shutdown.
@@ -20,7 +20,8 @@
     pub fn run(self) -> Result<(), CliError> {
         let signals = query_router::install_signal_handlers()?;
         log_to_stderr(&mut read_operator_file(self.operator)?)?;
-        let (config, path) = read_configuration(self.config)?;
+        let path = configuration_path(self.config)?;
+        let config = query_router::read_config(&path)?;
         query_router::serve(signals, config, path)?;
         Ok(())
     }
--- a/crates/cli/tests/loopback/rig/router_process.rs
+++ b/crates/cli/tests/loopback/rig/router_process.rs
@@ -44,9 +44,13 @@
         RouterProcess { child, log, address: String::new() }
     }
 
-    /// Waits for the first log line, which states the address that the router listens on.
+    /// Waits for the first log line, which states the address that the router listens on. Only attempts to start that
+    /// are repeated may be logged before.
     pub fn wait_until_listening(&mut self) {
-        let line = self.read_log_line();
+        let mut line = self.read_log_line();
+        while line.contains("start delayed") {
+            line = self.read_log_line();
+        }
         assert!(line.contains("query router started"), "{line:?}");
         let (_, address) = line.trim().rsplit_once(" address=").expect("an address");
         self.address = address.to_string();
--- a/crates/cli/tests/loopback/system_calls.rs
+++ b/crates/cli/tests/loopback/system_calls.rs
@@ -1,9 +1,11 @@
 //! System calls that fail for a moment, and a wall clock that is wrong: the router serves as if nothing had happened.
 
-use crate::rig::{Client, FaultyRouter, LONG_DEADLINE, config, discovery_with_node};
+use crate::rig::{
+    Client, DataNode, FaultyRouter, LONG_DEADLINE, config, discovery_with_node, frame, node_entry,
+};
 use fault_control::{Call, Control, Fault};
-use std::time::Instant;
-use test_servers::data_node;
+use std::time::{Duration, Instant};
+use test_servers::{Discovery, data_node};
 
 /// How often a test repeats a query.
 const REPETITIONS: usize = 60;
@@ -47,12 +49,61 @@
     assert_eq!(counter(&log, "node_connections_opened"), 1, "{log}");
 }
 
+#[test]
+fn reads_and_writes_may_be_interrupted_or_short_or_lack_memory_for_a_moment() {
+    let faults =
+        [Fault::Short, Fault::Error(libc::EINTR), Fault::Error(libc::ENOMEM), Fault::Error(libc::ENOBUFS)];
+    for (name, call) in [("faulty-reads", Call::Receive), ("faulty-writes", Call::Send)] {
+        let log = serve_with_faults(name, call, 300, &faults);
+        assert_eq!(counter(&log, "attempts_connection_lost"), 0, "{log}");
+        assert_eq!(counter(&log, "node_connections_opened"), 1, "{log}");
+    }
+}
+
 #[test]
 fn clients_are_accepted_although_accepting_fails_for_a_moment() {
     let errors = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EPROTO, libc::ENETDOWN, libc::EINTR];
     serve_with_faults("faulty-accepts", Call::Accept, 400, &errors.map(Fault::Error));
 }
 
+#[test]
+fn sockets_and_connections_that_this_machine_cannot_open_for_a_moment_are_not_held_against_a_node() {
+    let socket_errors = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM].map(Fault::Error);
+    let connect_errors = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EINTR, libc::EAGAIN, libc::ENOBUFS];
+    let connect_errors = connect_errors.map(Fault::Error);
+    let option_errors = [Fault::Error(libc::ENOBUFS), Fault::Error(libc::ENOMEM)];
+    let register_errors = [Fault::Error(libc::ENOMEM), Fault::Error(libc::ENOSPC)];
+    let cases: [(&str, Call, &[Fault]); 5] = [
+        ("no-socket", Call::Socket, &socket_errors),
+        ("no-connection", Call::Connect, &connect_errors),
+        ("no-option", Call::SocketOption, &option_errors),
+        ("no-registration", Call::Register, &register_errors),
+        ("no-peer-name", Call::PeerName, &option_errors),
+    ];
+    for (name, call, faults) in cases {
+        let node = DataNode::new();
+        let discovery = discovery_with_node(node.address);
+        let router = FaultyRouter::start(name, &config(discovery.at, LONG_DEADLINE), |_| {});
+        router.process.wait_for_counter("endpoint_lists_full", 2);
+        for round in 0..20 {
+            let mut client = router.process.connect();
+            client.send("GET /-/healthy HTTP/1.1\r\n\r\n");
+            assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
+            // The next connection is the one to the node, which closes it after each answer.
+            router.control.set_rate(call, 700, faults);
+            client.send_query("pay", &format!("t{round}"), LONG_DEADLINE);
+            let mut connection = node.accept();
+            assert_eq!(connection.read_frame().0, 'R');
+            router.control.clear();
+            connection.send(&frame(b'Y', &format!("t{round}.0 OK 5 -\none")));
+            assert_eq!(client.read_response().0, "HTTP/1.1 200 OK", "{name}, round {round}");
+        }
+        assert!(router.control.injected(call) > 0, "no call of {call:?} failed");
+        let log = router.process.terminate();
+        assert_eq!(counter(&log, "attempts_connect_failed"), 0, "{name}: {log}");
+    }
+}
+
 #[test]
 fn event_loop_survives_interrupted_waits_and_reads_of_signals() {
     let faults = [Fault::Error(libc::EINTR)];
@@ -89,6 +140,23 @@
     }
 }
 
+#[test]
+fn configuration_is_reloaded_although_reading_it_fails_for_a_moment() {
+    let (first, second) = (Discovery::start(8, vec![]), Discovery::start(3, vec![]));
+    let mut config = config(first.at, LONG_DEADLINE);
+    let router = FaultyRouter::start("faulty-reload", &config, |_| {});
+    router.process.wait_for_counter("endpoint_lists_full", 2);
+    // The file is missing, then half written, then whole; the signal comes only once.
+    config["discovery"] = second.at.to_string().into();
+    let text = config.to_string();
+    router.process.signal(rustix::process::Signal::HUP);
+    std::thread::sleep(Duration::from_millis(150));
+    router.config_file.write(&text[..text.len() / 2]);
+    std::thread::sleep(Duration::from_millis(150));
+    router.config_file.write(&text);
+    router.process.wait_for_counter("endpoint_lists_full", 3);
+}
+
 #[test]
 fn wall_clock_stepped_while_the_router_runs_changes_no_deadline() {
     let discovery = discovery_with_node(data_node());
--- a/crates/query-router/src/config/error.rs
+++ b/crates/query-router/src/config/error.rs
@@ -27,6 +27,16 @@
     },
 }
 
+impl ConfigFileError {
+    /// What the system reported, if the file could not be read.
+    pub(crate) fn cause(&self) -> Option<&std::io::Error> {
+        match self {
+            ConfigFileError::Unreadable { source, .. } => Some(source),
+            ConfigFileError::Invalid { .. } => None,
+        }
+    }
+}
+
 /// What a configuration lacks or states wrongly. Fields are named by their path in the file.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
--- a/crates/query-router/src/event_loop/error.rs
+++ b/crates/query-router/src/event_loop/error.rs
@@ -1,5 +1,6 @@
 //! Errors that keep the event loop from starting or from going on.
 
+use super::system_error::cause_of;
 use std::net::SocketAddr;
 
 /// Why the router cannot serve.
@@ -27,3 +28,15 @@
     #[error("listener: {0}")]
     ListenerAddress(#[source] std::io::Error),
 }
+
+impl ServeError {
+    /// The system's error behind it, if there is one.
+    pub(super) fn cause(&self) -> Option<&std::io::Error> {
+        match self {
+            ServeError::Signals(error)
+            | ServeError::EventLoop(error)
+            | ServeError::RegisterListener(error) => cause_of(error),
+            ServeError::Listen { source, .. } | ServeError::ListenerAddress(source) => Some(source),
+        }
+    }
+}
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -10,6 +10,7 @@
 mod server;
 mod signals;
 mod socket;
+mod system_error;
 
 #[cfg(test)]
 mod tests;
@@ -17,7 +18,7 @@
 pub use error::ServeError;
 pub use signals::{SignalSource, install_signal_handlers};
 
-use crate::config::Config;
+use crate::config::{Config, ConfigFileError};
 use crate::protocol::http::MAX_BODY_BYTES;
 use crate::router::Router;
 use calloop::EventLoop;
@@ -25,6 +26,16 @@
 use listener::ClientListener;
 use server::{ExitState, Server, print_to_stderr};
 use std::collections::VecDeque;
+use system_error::retry_at_start;
+
+/// Reads the configuration for the start. Where this machine lacks something to read it, that is tried again for a while.
+///
+/// # Errors
+///
+/// A [`ConfigFileError`] as of [`Config::read`].
+pub fn read_config(path: &str) -> Result<Config, ConfigFileError> {
+    retry_at_start(|| Config::read(path), ConfigFileError::cause)
+}
 
 /// Serves queries until SIGTERM or SIGINT, then shuts down gracefully and prints the counters to
 /// standard error. On SIGHUP the configuration is read again from `config_path`.
@@ -47,11 +58,19 @@
 fn start(
     signals: SignalSource, config: Config, config_path: String,
 ) -> Result<(EventLoop<'static, Server>, Server), ServeError> {
-    let event_loop = EventLoop::try_new().map_err(ServeError::EventLoop)?;
+    let event_loop =
+        retry_at_start(|| EventLoop::try_new().map_err(ServeError::EventLoop), ServeError::cause)?;
     let handle = event_loop.handle();
-    let listener =
-        ClientListener::bind(config.listen, &handle, |server: &mut Server| server.accept_pending = true)?;
-    signals.register(&handle, |request, server| server.pending_signals.push(request))?;
+    let bind =
+        || ClientListener::bind(config.listen, &handle, |server: &mut Server| server.accept_pending = true);
+    let listener = retry_at_start(bind, ServeError::cause)?;
+    let mut signals = Some(signals);
+    let register = || {
+        SignalSource::register(&mut signals, &handle, |request, server: &mut Server| {
+            server.pending_signals.push(request);
+        })
+    };
+    retry_at_start(register, ServeError::cause)?;
     let clock = Clock::new();
     let router = Router::new(&config, clock.now());
     let address = listener.local_address()?;
--- a/crates/query-router/src/event_loop/signals.rs
+++ b/crates/query-router/src/event_loop/signals.rs
@@ -1,8 +1,9 @@
 //! The signals that the router handles.
 
 use super::error::ServeError;
-use calloop::LoopHandle;
+use super::system_error::{cause_of, retry_at_start};
 use calloop::signals::{Signal, Signals};
+use calloop::{EventSource, LoopHandle, Poll, PostAction, Readiness, Token, TokenFactory};
 
 /// What a signal asks the router to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,19 +38,55 @@
 ///
 /// [`ServeError::Signals`] if the system does not allow it.
 pub fn install_signal_handlers() -> Result<SignalSource, ServeError> {
-    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
-        .map(SignalSource)
-        .map_err(ServeError::Signals)
+    let signals = || Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1]);
+    retry_at_start(signals, cause_of).map(SignalSource).map_err(ServeError::Signals)
 }
 
 impl SignalSource {
-    /// Has the event loop call `on_request` for each signal.
+    /// Has the event loop call `on_request` for each signal. Takes the source only if that succeeds.
     pub(super) fn register<D: 'static>(
-        self, handle: &LoopHandle<'static, D>, on_request: impl Fn(SignalRequest, &mut D) + 'static,
+        source: &mut Option<SignalSource>, handle: &LoopHandle<'static, D>,
+        on_request: impl Fn(SignalRequest, &mut D) + 'static,
     ) -> Result<(), ServeError> {
-        handle
-            .insert_source(self.0, move |event, _, data| on_request(event.signal().into(), data))
-            .map(|_| ())
-            .map_err(|insert| ServeError::Signals(insert.error))
+        let Some(signals) = source.take() else { return Ok(()) };
+        let inserted =
+            handle.insert_source(signals, move |event, _, data| on_request(event.signal().into(), data));
+        inserted.map(|_| ()).map_err(|refused| {
+            *source = Some(refused.inserted);
+            ServeError::Signals(refused.error)
+        })
+    }
+}
+
+/// Reads signals. Guards against a read that fails for a moment, which the event loop would pass on as a failure of
+/// itself, and with it lose what it had to report of connections: the signal is read in the next iteration.
+impl EventSource for SignalSource {
+    type Event = <Signals as EventSource>::Event;
+    type Metadata = ();
+    type Ret = ();
+    type Error = <Signals as EventSource>::Error;
+
+    fn process_events<F>(
+        &mut self, readiness: Readiness, token: Token, callback: F,
+    ) -> Result<PostAction, Self::Error>
+    where
+        F: FnMut(Self::Event, &mut ()),
+    {
+        self.0.process_events(readiness, token, callback).or_else(|error| {
+            tracing::warn!(%error, "reading a signal failed; retrying");
+            Ok(PostAction::Continue)
+        })
+    }
+
+    fn register(&mut self, poll: &mut Poll, token_factory: &mut TokenFactory) -> calloop::Result<()> {
+        self.0.register(poll, token_factory)
+    }
+
+    fn reregister(&mut self, poll: &mut Poll, token_factory: &mut TokenFactory) -> calloop::Result<()> {
+        self.0.reregister(poll, token_factory)
+    }
+
+    fn unregister(&mut self, poll: &mut Poll) -> calloop::Result<()> {
+        self.0.unregister(poll)
     }
 }
--- a/crates/query-router/src/event_loop/socket.rs
+++ b/crates/query-router/src/event_loop/socket.rs
@@ -1,5 +1,6 @@
 //! One non-blocking connection with its buffers. It returns the outcome of each system call and decides nothing.
 
+use super::system_error::{self, MAX_IMMEDIATE_RETRIES};
 use crate::io::Bytes;
 use crate::protocol::http::MAX_REQUEST_BYTES;
 use calloop::RegistrationToken;
@@ -172,11 +173,18 @@
 
     /// Looks at the received bytes without reading them.
     pub(super) fn unread(&self) -> Unread {
-        match self.stream.peek(&mut [0]) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
-            Ok(count) if count > 0 => Unread::Bytes,
-            Ok(_) | Err(_) => Unread::End,
+        for _ in 0..MAX_IMMEDIATE_RETRIES {
+            match self.stream.peek(&mut [0]) {
+                Ok(0) => return Unread::End,
+                Ok(_) => return Unread::Bytes,
+                Err(error) => match system_error::kind_of(&error) {
+                    system_error::ErrorKind::WouldBlock => return Unread::Nothing,
+                    system_error::ErrorKind::Interrupted | system_error::ErrorKind::LocalShortage => {}
+                    system_error::ErrorKind::Failed => return Unread::End,
+                },
+            }
         }
+        Unread::End
     }
 
     /// Adds pieces to the output.
