What this machine lacks for a moment is tried again and held against no node

Cause: a write that failed with ENOBUFS or ENOMEM discarded the answer and, as nothing could be read, the connection stayed with its client waiting (socket.rs write_queued); a read that lacked memory closed it. socket, connect and epoll_ctl that failed here were reported as ConnectFailed, for which the balancer ejects the node (effects.rs connect, register). A reload whose file could not be read at that moment was never repeated (iteration.rs). accept dropped a client whose socket could not be made non-blocking, and paused for 100 ms; the process could exit while accept failed.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -80,6 +80,8 @@
     frames_unexpected,
     /// Connections to nodes that were begun.
     node_connections_opened,
+    /// Times that this machine lacked something to open a connection to a node.
+    node_connections_delayed,
     /// Connections to nodes that were never established.
     node_connections_failed,
     /// Connections to nodes that were closed while idle.
--- a/crates/query-router/src/event_loop/effects.rs
+++ b/crates/query-router/src/event_loop/effects.rs
@@ -1,12 +1,14 @@
 //! Carries out the effects that the router asks for, and reports the events that follow from them.
 
 use super::pending_event::PendingEvent;
+use super::retries::Retry;
 use super::server::{ExitState, Server, print_to_stderr};
 use super::socket::{ConnectState, Socket, Unread, WriteOutcome, start_connecting};
+use super::system_error;
 
 use crate::io::{Bytes, ConnectionId, Effect, Event, ExpectedInput};
 use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, Readiness};
+use calloop::{InsertError, Interest, Mode, PostAction, Readiness};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -34,6 +36,9 @@
                         self.router.step(now, Event::Received { connection, bytes: socket.input() });
                     }
                 }
+                Some(PendingEvent::ConnectDelayed(connection)) => {
+                    self.router.step(now, Event::ConnectDelayed(connection));
+                }
                 Some(PendingEvent::Flushed(connection)) => self.router.step(now, Event::Flushed(connection)),
                 Some(PendingEvent::Ended { connection, written_bytes }) => {
                     self.router.step(now, Event::Ended { connection, written_bytes });
@@ -65,6 +70,7 @@
                 }
             }
             Effect::Close(connection) => {
+                self.retries.remove(connection);
                 self.remove_socket(connection);
                 // The id may be reused, so events of this connection must not be reported any more.
                 self.pending_events.retain(|event| event.connection() != connection);
@@ -80,10 +86,42 @@
     fn connect(&mut self, connection: ConnectionId, address: SocketAddr) {
         match start_connecting(address) {
             Ok(stream) => self.register(connection, stream, ConnectState::Connecting),
+            Err(error) if system_error::is_transient(&error) => {
+                self.delay_opening(connection, &error, Retry::Connect(address));
+            }
             Err(_) => self.report_unopened(connection),
         }
     }
 
+    /// Opens a connection a little later, since this machine lacks something for it.
+    fn delay_opening(&mut self, connection: ConnectionId, error: &std::io::Error, retry: Retry) {
+        let now = self.clock.now();
+        tracing::debug!(connection = connection.0, %error, "opening a connection delayed");
+        self.retries.add(now, connection, retry);
+        self.pending_events.push_back(PendingEvent::ConnectDelayed(connection));
+    }
+
+    /// Repeats the calls that were delayed for long enough.
+    pub(super) fn run_due_retries(&mut self) {
+        for (connection, retry) in self.retries.take_due(self.clock.now()) {
+            match retry {
+                Retry::Connect(address) => self.connect(connection, address),
+                Retry::Register(stream, state) => self.register(connection, stream, state),
+                Retry::CloseIfIdle => self.close_if_idle(connection),
+                Retry::Transfer => {
+                    let readiness = Readiness { readable: true, writable: true, error: false };
+                    self.ready.push((connection, readiness));
+                }
+            }
+        }
+        self.carry_out_effects();
+    }
+
+    /// Has a connection read and written a little later, since this machine lacked something for it.
+    pub(super) fn transfer_later(&mut self, connection: ConnectionId) {
+        self.retries.add(self.clock.now(), connection, Retry::Transfer);
+    }
+
     fn consume(&mut self, connection: ConnectionId, count: usize) {
         if let Some(socket) = self.socket_mut(connection) {
             socket.consume_input(count);
@@ -93,8 +131,12 @@
     /// Closes a connection on which nothing has come in. Unread bytes, or an unread end, are handled when the loop
     /// reads them.
     fn close_if_idle(&mut self, connection: ConnectionId) {
-        if self.unread(connection) == Some(Unread::Nothing) {
-            self.close_and_report(connection);
+        match self.unread(connection) {
+            Some(Unread::Nothing) => self.close_and_report(connection),
+            Some(Unread::Unknown) => {
+                self.retries.add(self.clock.now(), connection, Retry::CloseIfIdle);
+            }
+            Some(Unread::Bytes | Unread::End) | None => {}
         }
     }
 
@@ -121,6 +163,7 @@
             WriteOutcome::Flushed => self.pending_events.push_back(PendingEvent::Flushed(connection)),
             // Bytes that were received before the connection broke are still read; its end is found then.
             WriteOutcome::Failed => self.read_in_next_iteration(connection),
+            WriteOutcome::LocalShortage => self.transfer_later(connection),
             WriteOutcome::NothingQueued | WriteOutcome::WouldBlock => {}
         }
     }
@@ -137,9 +180,12 @@
 
     /// Closes a connection and queues the report of its end, unless it was closed before.
     pub(super) fn close_and_report(&mut self, connection: ConnectionId) {
+        let was_unopened = self.retries.remove(connection);
         if let Some(socket) = self.remove_socket(connection) {
             let written_bytes = socket.written_bytes();
             self.pending_events.push_back(PendingEvent::Ended { connection, written_bytes });
+        } else if was_unopened {
+            self.report_unopened(connection);
         }
     }
 
@@ -159,16 +205,33 @@
     fn register(&mut self, connection: ConnectionId, stream: TcpStream, state: ConnectState) {
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = self.handle.insert_source(source, move |readiness, _, server: &mut Server| {
+        let inserted = self.handle.insert_source(source, move |readiness, _, server: &mut Server| {
             server.ready.push((connection, readiness));
             Ok(PostAction::Continue)
         });
-        let Ok(token) = token else {
-            return self.report_unopened(connection);
+        let token = match inserted {
+            Ok(token) => token,
+            Err(InsertError { inserted, error }) => {
+                drop(inserted);
+                return self.register_later(connection, stream, state, &error);
+            }
         };
         if self.sockets.len() <= connection.0 {
             self.sockets.resize_with(connection.0 + 1, || None);
         }
         self.sockets[connection.0] = Some(Socket::new(stream, token, state));
     }
+
+    /// Handles that the event loop could not watch a stream: tries again later if this machine lacked something for it.
+    fn register_later(
+        &mut self, connection: ConnectionId, stream: Rc<TcpStream>, state: ConnectState,
+        error: &calloop::Error,
+    ) {
+        match (system_error::cause_of(error), Rc::try_unwrap(stream)) {
+            (Some(cause), Ok(stream)) if system_error::is_transient(cause) => {
+                self.delay_opening(connection, cause, Retry::Register(stream, state));
+            }
+            _ => self.report_unopened(connection),
+        }
+    }
 }
--- a/crates/query-router/src/event_loop/iteration.rs
+++ b/crates/query-router/src/event_loop/iteration.rs
@@ -4,7 +4,6 @@
 use super::server::{ExitState, Server};
 use super::signals::SignalRequest;
 use super::socket::{ConnectProgress, ReadOutcome, Socket};
-use crate::config::Config;
 use crate::io::{ConnectionId, Event};
 use calloop::Readiness;
 use std::time::Duration;
@@ -19,17 +18,21 @@
         if !self.ready.is_empty() {
             return Some(Duration::ZERO);
         }
-        let next = self.wake_at.into_iter().chain(self.listener.resume_at()).min();
+        let reload_at = self.pending_reload.as_ref().map(|reload| reload.at);
+        let wake_times = [self.wake_at, self.listener.resume_at(), self.retries.next_at(), reload_at];
+        let next = wake_times.into_iter().flatten().min();
         next.map(|at| Duration::from_micros((at - now).max(0) as u64))
     }
 
     /// Reports all events to the router, then has it decide once.
     pub(super) fn run_iteration(&mut self) {
         self.handle_ready_connections();
+        self.run_due_retries();
         if std::mem::take(&mut self.accept_pending) {
             self.accept_clients();
         }
         self.handle_signals();
+        self.repeat_reload();
         if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
             self.report_event(Event::TimerExpired);
         }
@@ -58,6 +61,7 @@
         if !socket.is_connected() {
             match socket.finish_connecting() {
                 ConnectProgress::Pending => return,
+                ConnectProgress::Unknown => return self.transfer_later(connection),
                 ConnectProgress::Failed => {
                     self.close_and_report(connection);
                     return self.carry_out_effects();
@@ -84,6 +88,7 @@
                     self.carry_out_effects();
                 }
                 ReadOutcome::Interrupted => {}
+                ReadOutcome::LocalShortage => return self.transfer_later(connection),
                 ReadOutcome::WouldBlock | ReadOutcome::BufferFull => return,
                 ReadOutcome::EndOfStream => {
                     self.router.step(self.clock.now(), Event::PeerClosed(connection));
@@ -102,16 +107,19 @@
         self.carry_out_effects();
     }
 
-    /// Accepts clients while the router takes them, then pauses the listener.
-    fn accept_clients(&mut self) {
+    /// Accepts clients while the router takes them, then pauses the listener. Returns how the last attempt ended.
+    fn accept_clients(&mut self) -> AcceptOutcome {
+        let mut outcome = AcceptOutcome::Accepted;
         while !self.listener.has_accepted() {
-            match self.listener.accept_next(&self.clock) {
+            outcome = self.listener.accept_next(&self.clock);
+            match outcome {
                 AcceptOutcome::Accepted => self.report_event(Event::ClientConnected),
-                AcceptOutcome::NoneWaiting => return,
+                AcceptOutcome::NoneWaiting => return outcome,
                 AcceptOutcome::Failed => break,
             }
         }
         self.listener.pause(&self.handle);
+        outcome
     }
 
     fn handle_signals(&mut self) {
@@ -124,23 +132,6 @@
         }
     }
 
-    /// Reads the configuration again. An invalid one changes nothing.
-    fn reload_config(&mut self) {
-        match Config::read(&self.config_path) {
-            Ok(newer) => {
-                let fields = self.config.fields_needing_restart(&newer);
-                if !fields.is_empty() {
-                    tracing::warn!(
-                        fields = fields.join(", "),
-                        "changed fields take effect at the next start"
-                    );
-                }
-                self.report_event(Event::DiscoveryMoved(newer.discovery));
-            }
-            Err(error) => tracing::warn!(%error, "configuration not reloaded"),
-        }
-    }
-
     /// Has the router decide, and carries out the effects that it asks for.
     pub(super) fn decide(&mut self) {
         self.router.decide(self.clock.now());
@@ -151,8 +142,12 @@
     /// that connected since the listener was last looked at.
     fn exit_if_requested(&mut self) {
         if self.exit == ExitState::Requested {
-            self.accept_clients();
-            self.exit = if self.router.may_exit() { ExitState::Done } else { ExitState::Running };
+            let is_nobody_waiting = self.accept_clients() == AcceptOutcome::NoneWaiting;
+            self.exit = if is_nobody_waiting && self.router.may_exit() {
+                ExitState::Done
+            } else {
+                ExitState::Running
+            };
         }
     }
 }
--- a/crates/query-router/src/event_loop/listener.rs
+++ b/crates/query-router/src/event_loop/listener.rs
@@ -3,16 +3,18 @@
 
 use super::clock::Clock;
 use super::error::ServeError;
+use super::system_error::{MAX_IMMEDIATE_RETRIES, RETRY_PAUSE};
 use balancer::Micros;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::io::Errno;
+use rustix::net::{self, SocketFlags};
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// How long the listener is paused after accepting failed.
-const ACCEPT_PAUSE: Micros = 100_000;
+/// How often accepting is repeated at once after errors of single connections.
+const MAX_ACCEPT_FAILURES: usize = 64;
 
 /// The outcome of an attempt to accept a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,28 +74,30 @@
 
     /// Accepts the next client that is waiting and queues its stream.
     pub(super) fn accept_next(&mut self, clock: &Clock) -> AcceptOutcome {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        for _ in 0..MAX_ACCEPT_FAILURES {
+            match net::accept_with(&*self.listener, flags) {
+                Ok(stream) => {
                     self.retry_at = 0;
-                    if stream.set_nonblocking(true).is_ok() {
-                        let _ = stream.set_nodelay(true);
-                        self.accepted.push_back(stream);
-                        return AcceptOutcome::Accepted;
-                    }
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return AcceptOutcome::NoneWaiting,
-                Err(error)
-                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(error) => {
-                    if self.retry_at == 0 {
-                        tracing::warn!(%error, "accepting clients failed; retrying");
-                    }
-                    self.retry_at = clock.now() + ACCEPT_PAUSE;
-                    return AcceptOutcome::Failed;
+                    let stream = TcpStream::from(stream);
+                    disable_send_delay(&stream);
+                    self.accepted.push_back(stream);
+                    return AcceptOutcome::Accepted;
                 }
+                Err(Errno::AGAIN) => return AcceptOutcome::NoneWaiting,
+                Err(error) if is_error_of_one_connection(error) => {}
+                Err(error) => return self.pause_after(error, clock),
             }
         }
+        self.pause_after(Errno::CONNABORTED, clock)
+    }
+
+    fn pause_after(&mut self, error: Errno, clock: &Clock) -> AcceptOutcome {
+        if self.retry_at == 0 {
+            tracing::warn!(%error, "accepting clients failed; retrying");
+        }
+        self.retry_at = clock.now() + RETRY_PAUSE;
+        AcceptOutcome::Failed
     }
 
     /// When the paused listener is to be resumed; `None` if it is not paused, or until the accepted stream is
@@ -113,6 +117,33 @@
     }
 }
 
+/// Whether accepting may be repeated at once: it was interrupted, or the connection that it was for has failed, whose
+/// error the system reports in this way.
+fn is_error_of_one_connection(error: Errno) -> bool {
+    matches!(
+        error,
+        Errno::INTR
+            | Errno::CONNABORTED
+            | Errno::NETDOWN
+            | Errno::PROTO
+            | Errno::NOPROTOOPT
+            | Errno::HOSTDOWN
+            | Errno::NONET
+            | Errno::HOSTUNREACH
+            | Errno::OPNOTSUPP
+            | Errno::NETUNREACH
+    )
+}
+
+/// Has the system send small writes at once. Guards against a close over unread bytes, which discards what the system
+/// still holds back.
+fn disable_send_delay(stream: &TcpStream) {
+    let is_set = (0..MAX_IMMEDIATE_RETRIES).any(|_| stream.set_nodelay(true).is_ok());
+    if !is_set {
+        tracing::warn!("small writes to a client may be held back: TCP_NODELAY was refused");
+    }
+}
+
 fn listen_non_blocking(address: SocketAddr) -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -7,6 +7,8 @@
 mod iteration;
 mod listener;
 mod pending_event;
+mod reload;
+mod retries;
 mod server;
 mod signals;
 mod socket;
@@ -24,6 +26,7 @@
 use calloop::EventLoop;
 use clock::Clock;
 use listener::ClientListener;
+use retries::Retries;
 use server::{ExitState, Server, print_to_stderr};
 use std::collections::VecDeque;
 use system_error::retry_at_start;
@@ -47,7 +50,10 @@
     let (mut event_loop, mut server) = start(signals, config, config_path)?;
     while server.exit != ExitState::Done {
         let timeout = server.poll_timeout();
-        event_loop.dispatch(timeout, &mut server).map_err(ServeError::EventLoop)?;
+        match event_loop.dispatch(timeout, &mut server) {
+            Ok(()) => server.wait_failures = 0,
+            Err(error) => server.recover_from_failed_wait(error)?,
+        }
         server.run_iteration();
     }
     print_to_stderr(&server.router.counters().lines());
@@ -85,6 +91,9 @@
         accept_pending: false,
         sockets: Vec::new(),
         ready: Vec::new(),
+        retries: Retries::default(),
+        pending_reload: None,
+        wait_failures: 0,
         pending_events: VecDeque::new(),
         pending_signals: Vec::new(),
         wake_at: None,
--- a/crates/query-router/src/event_loop/pending_event.rs
+++ b/crates/query-router/src/event_loop/pending_event.rs
@@ -7,6 +7,8 @@
 pub(super) enum PendingEvent {
     /// The router requested that unconsumed bytes are reported again.
     ReadAgain(ConnectionId),
+    /// This machine could not open the connection yet.
+    ConnectDelayed(ConnectionId),
     /// All queued output is written.
     Flushed(ConnectionId),
     /// The connection is closed.
@@ -22,8 +24,10 @@
     /// The connection that the event is about.
     pub(super) fn connection(&self) -> ConnectionId {
         match self {
-            PendingEvent::ReadAgain(connection) | PendingEvent::Flushed(connection) => *connection,
-            PendingEvent::Ended { connection, .. } => *connection,
+            PendingEvent::ReadAgain(connection)
+            | PendingEvent::ConnectDelayed(connection)
+            | PendingEvent::Flushed(connection)
+            | PendingEvent::Ended { connection, .. } => *connection,
         }
     }
 }
--- a/crates/query-router/src/event_loop/socket.rs
+++ b/crates/query-router/src/event_loop/socket.rs
@@ -1,13 +1,13 @@
 //! One non-blocking connection with its buffers. It returns the outcome of each system call and decides nothing.
 
-use super::system_error::{self, MAX_IMMEDIATE_RETRIES};
+use super::system_error::{self, ErrorKind, MAX_IMMEDIATE_RETRIES};
 use crate::io::Bytes;
 use crate::protocol::http::MAX_REQUEST_BYTES;
 use calloop::RegistrationToken;
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
 use std::collections::VecDeque;
-use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::io::{self, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -30,6 +30,8 @@
 pub(super) enum ConnectProgress {
     /// Nothing is known yet.
     Pending,
+    /// This machine could not tell: look again a little later.
+    Unknown,
     /// The connection is established.
     Connected,
     /// The connection failed.
@@ -49,6 +51,8 @@
     BufferFull,
     /// A signal interrupted the read; it may be repeated at once.
     Interrupted,
+    /// This machine lacked something; the read may be repeated a little later.
+    LocalShortage,
     /// The connection is broken.
     Failed,
 }
@@ -62,6 +66,8 @@
     Flushed,
     /// The socket takes no more at present.
     WouldBlock,
+    /// This machine lacked something; the write may be repeated a little later.
+    LocalShortage,
     /// The connection is broken; the queued output is discarded.
     Failed,
 }
@@ -71,6 +77,8 @@
 pub(super) enum Unread {
     /// Nothing was received.
     Nothing,
+    /// This machine could not tell.
+    Unknown,
     /// Bytes were received.
     Bytes,
     /// The end of the connection, in order or by an error.
@@ -82,6 +90,8 @@
     stream: Rc<TcpStream>,
     token: RegistrationToken,
     state: ConnectState,
+    /// Whether a write failed: once nothing more can be read, the connection has ended.
+    broken: bool,
     /// Whether the last read stopped because the input buffer was full.
     input_full: bool,
     /// The bytes that were received and not consumed.
@@ -100,6 +110,7 @@
             stream,
             token,
             state,
+            broken: false,
             input_full: false,
             input: Vec::new(),
             output: VecDeque::new(),
@@ -135,14 +146,19 @@
 
     /// Asks the system whether the connection was established, and remembers it if so.
     pub(super) fn finish_connecting(&mut self) -> ConnectProgress {
-        if !matches!(self.stream.take_error(), Ok(None)) {
-            return ConnectProgress::Failed;
+        match self.stream.take_error() {
+            Ok(None) => {}
+            Err(error) if system_error::is_transient(&error) => return ConnectProgress::Unknown,
+            Ok(Some(_)) | Err(_) => return ConnectProgress::Failed,
         }
-        if self.stream.peer_addr().is_err() {
-            return ConnectProgress::Pending;
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                self.state = ConnectState::Connected;
+                ConnectProgress::Connected
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => ConnectProgress::Pending,
+            Err(_) => ConnectProgress::Unknown,
         }
-        self.state = ConnectState::Connected;
-        ConnectProgress::Connected
     }
 
     /// Reads once through `buffer` into the input buffer, unless that is full.
@@ -157,9 +173,13 @@
                 self.input.extend_from_slice(&buffer[..count]);
                 ReadOutcome::Received
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => ReadOutcome::WouldBlock,
-            Err(error) if error.kind() == ErrorKind::Interrupted => ReadOutcome::Interrupted,
-            Err(_) => ReadOutcome::Failed,
+            Err(error) => match system_error::kind_of(&error) {
+                ErrorKind::WouldBlock if self.broken => ReadOutcome::Failed,
+                ErrorKind::WouldBlock => ReadOutcome::WouldBlock,
+                ErrorKind::Interrupted => ReadOutcome::Interrupted,
+                ErrorKind::LocalShortage => ReadOutcome::LocalShortage,
+                ErrorKind::Failed => ReadOutcome::Failed,
+            },
         }
     }
 
@@ -178,13 +198,13 @@
                 Ok(0) => return Unread::End,
                 Ok(_) => return Unread::Bytes,
                 Err(error) => match system_error::kind_of(&error) {
-                    system_error::ErrorKind::WouldBlock => return Unread::Nothing,
-                    system_error::ErrorKind::Interrupted | system_error::ErrorKind::LocalShortage => {}
-                    system_error::ErrorKind::Failed => return Unread::End,
+                    ErrorKind::WouldBlock => return Unread::Nothing,
+                    ErrorKind::Interrupted | ErrorKind::LocalShortage => {}
+                    ErrorKind::Failed => return Unread::End,
                 },
             }
         }
-        Unread::End
+        Unread::Unknown
     }
 
     /// Adds pieces to the output.
@@ -200,12 +220,16 @@
         while !self.output.is_empty() {
             match self.write_once() {
                 Ok(count) => self.discard_written(count),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return WriteOutcome::WouldBlock,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.output.clear();
-                    return WriteOutcome::Failed;
-                }
+                Err(error) => match system_error::kind_of(&error) {
+                    ErrorKind::WouldBlock => return WriteOutcome::WouldBlock,
+                    ErrorKind::Interrupted => {}
+                    ErrorKind::LocalShortage => return WriteOutcome::LocalShortage,
+                    ErrorKind::Failed => {
+                        self.output.clear();
+                        self.broken = true;
+                        return WriteOutcome::Failed;
+                    }
+                },
             }
         }
         WriteOutcome::Flushed
@@ -257,8 +281,13 @@
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let stream = TcpStream::from(net::socket_with(family, SocketType::STREAM, flags, None)?);
     stream.set_nodelay(true)?;
-    match net::connect(&stream, &address) {
-        Ok(()) | Err(Errno::INPROGRESS) => Ok(stream),
-        Err(error) => Err(error.into()),
+    for _ in 0..MAX_IMMEDIATE_RETRIES {
+        match net::connect(&stream, &address) {
+            // Interrupted, the system may go on connecting: then the next call says so.
+            Err(Errno::INTR) => {}
+            Ok(()) | Err(Errno::INPROGRESS | Errno::ALREADY | Errno::ISCONN) => return Ok(stream),
+            Err(error) => return Err(error.into()),
+        }
     }
+    Err(Errno::INTR.into())
 }
--- a/crates/query-router/src/io.rs
+++ b/crates/query-router/src/io.rs
@@ -17,6 +17,9 @@
 pub enum Event<'a> {
     /// A client has connected; [`Effect::Accept`] answers it, later if the limit on descriptors is reached.
     ClientConnected,
+    /// This machine lacks something for a connection that [`Effect::Connect`] asked for; the event loop goes on trying
+    /// until the connection is closed.
+    ConnectDelayed(ConnectionId),
     /// A connection that [`Effect::Connect`] opened is established.
     Established(ConnectionId),
     /// Bytes were received on a connection.
--- a/crates/query-router/src/router/clients/mod.rs
+++ b/crates/query-router/src/router/clients/mod.rs
@@ -78,6 +78,11 @@
         context.counters.client_connections_delayed += u64::from(self.pending_accepts > 0);
     }
 
+    /// Whether a client has connected and waits for a free socket.
+    pub fn has_pending_accepts(&self) -> bool {
+        self.pending_accepts > 0
+    }
+
     /// Accepts waiting clients, as far as the limit on descriptors allows.
     pub fn accept_pending(&mut self, context: &mut Context) {
         while self.pending_accepts > 0 {
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -75,6 +75,8 @@
     pub address: SocketAddr,
     /// Whether it is established, and since when.
     establishment: Establishment,
+    /// Whether this machine could not open it at first.
+    delayed_locally: bool,
     /// Since when it counts as idle, if it is idle.
     idle_from: Micros,
     queue: OutgoingQueue,
@@ -108,6 +110,7 @@
             node,
             address,
             establishment: Establishment::Connecting { since: now },
+            delayed_locally: false,
             idle_from: now,
             queue: OutgoingQueue::default(),
             bytes_handed_over: 0,
@@ -128,6 +131,16 @@
         self.establishment
     }
 
+    /// Notes that this machine, and not the node, keeps the connection from being established.
+    pub fn set_delayed_locally(&mut self) {
+        self.delayed_locally = true;
+    }
+
+    /// Whether this machine, and not the node, kept the connection from being established.
+    pub fn is_delayed_locally(&self) -> bool {
+        self.delayed_locally && !self.is_established()
+    }
+
     /// Notes that the connection is established.
     pub fn set_established(&mut self, now: Micros) {
         self.establishment = Establishment::Established { since: now };
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -74,6 +74,7 @@
         self.state.context.now = now;
         match event {
             Event::ClientConnected => self.state.clients.connected(&mut self.state.context),
+            Event::ConnectDelayed(id) => node_connections::connect_delayed(&mut self.state.context, id),
             Event::Established(id) => self.established(id),
             Event::Received { connection: id, bytes } => self.received(id, bytes),
             Event::Flushed(id) => self.flushed(id),
@@ -123,7 +124,9 @@
     /// Whether a graceful shutdown has nothing left to wait for.
     pub fn may_exit(&self) -> bool {
         let context = &self.state.context;
-        context.shutdown.closes_idle() && context.connections.clients().next().is_none()
+        context.shutdown.closes_idle()
+            && context.connections.clients().next().is_none()
+            && !self.state.clients.has_pending_accepts()
     }
 
     /// Asks for [`Event::TimerExpired`] at the time of the first timer, or of the next decision if one is needed.
--- a/crates/query-router/src/router/node_connections/lifecycle.rs
+++ b/crates/query-router/src/router/node_connections/lifecycle.rs
@@ -83,15 +83,17 @@
 ) -> Vec<NodeReport<'static>> {
     let connection = context.connections.node_mut(id);
     let was_established = connection.is_established();
+    let is_local_failure = connection.is_delayed_locally();
     let cause = connection.close_cause();
     let queued: Vec<AttemptId> = connection.queue().attempts().collect();
     let in_flight = connection.take_in_flight();
-    // An established connection that ends before a frame is written does not prove that its node is unreachable.
-    let (not_written, check_outcome) = if was_established {
-        (AttemptOutcome::NotSent, AttemptOutcome::ConnectionLost)
-    } else {
-        context.counters.node_connections_failed += 1;
-        (AttemptOutcome::ConnectFailed, AttemptOutcome::ConnectFailed)
+    // Neither an established connection that ends before a frame is written nor one that this machine could not open
+    // proves that its node is unreachable.
+    context.counters.node_connections_failed += u64::from(!was_established);
+    let (not_written, check_outcome) = match (was_established, is_local_failure) {
+        (true, _) => (AttemptOutcome::NotSent, AttemptOutcome::ConnectionLost),
+        (false, true) => (AttemptOutcome::NotSent, AttemptOutcome::NotSent),
+        (false, false) => (AttemptOutcome::ConnectFailed, AttemptOutcome::ConnectFailed),
     };
     let mut reports = Vec::new();
     while let Some(report) = finish_health_check(context, id, check_outcome, Vec::new()) {
--- a/crates/query-router/src/router/node_connections/mod.rs
+++ b/crates/query-router/src/router/node_connections/mod.rs
@@ -11,6 +11,7 @@
 pub use write::write;
 
 use crate::io::{ConnectionId, Effect};
+use crate::router::connection::ConnectionKind;
 use crate::router::connection::outgoing_queue::HealthCheckKind;
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
@@ -18,6 +19,14 @@
 use balancer::{AttemptOutcome, NodeId};
 use lifecycle::{close_malformed, finish_health_check};
 
+/// Notes that this machine could not open a connection yet. Where it never can, that is not held against the node.
+pub fn connect_delayed(context: &mut Context, id: ConnectionId) {
+    if context.connections.kind(id) == Some(ConnectionKind::Node) {
+        context.counters.node_connections_delayed += 1;
+        context.connections.node_mut(id).set_delayed_locally();
+    }
+}
+
 /// Handles a connection that was established.
 pub fn established(context: &mut Context, queries: &mut QueryTable, id: ConnectionId) {
     context.connections.node_mut(id).set_established(context.now);
