Failing tests: starts of nodes and a wall clock that is wrong or was set back

With the clock behind, a node that started just now has a start in the future: without slow start settings its capacity is 0/0 and no attempt begins, and established connections older than that start are closed as lists come. With it ahead, a node that restarts looks an hour old and is not warmed up. A start that goes back is no restart (balancer.rs: only a later one is).

--- a/crates/cli/tests/loopback/system_calls.rs
+++ b/crates/cli/tests/loopback/system_calls.rs
@@ -157,6 +157,42 @@
     router.process.wait_for_counter("endpoint_lists_full", 3);
 }
 
+/// Starts a router with the wall clock shifted, a node that started just now, and lists that keep coming. Asks 40
+/// queries, and returns the log.
+fn serve_with_shifted_clock(name: &str, shift: Duration, is_behind: bool) -> String {
+    let now_ms = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("a time after 1970")
+        .as_millis() as i64;
+    let node = data_node();
+    let discovery = Discovery::start(8, vec![node_entry("a", node, now_ms)]);
+    let shift = if is_behind { -(shift.as_millis() as i64) } else { shift.as_millis() as i64 };
+    let router = FaultyRouter::start(name, &config(discovery.at, Duration::from_secs(2)), |control| {
+        control.set_wall_clock_shift_ms(shift);
+    });
+    router.process.wait_for_counter("endpoint_lists_full", 2);
+    let mut client = router.process.connect();
+    for index in 0..40 {
+        let mut other = node_entry("other", node, 0);
+        other["phase"] = "draining".into();
+        discovery.publish(vec![other]);
+        client.send_query("look", &format!("t{index}"), Duration::from_secs(2));
+        assert_eq!(client.read_response().0, "HTTP/1.1 200 OK", "query {index}");
+    }
+    drop(client);
+    router.process.terminate()
+}
+
+#[test]
+fn wall_clock_that_is_behind_neither_stops_the_service_nor_closes_connections() {
+    for seconds in [30, 3600] {
+        let name = format!("clock-behind-{seconds}");
+        let log = serve_with_shifted_clock(&name, Duration::from_secs(seconds), true);
+        assert_eq!(counter(&log, "queries_complete"), 40, "{log}");
+        assert!(counter(&log, "node_connections_opened") <= 2, "{log}");
+    }
+}
+
 #[test]
 fn wall_clock_stepped_while_the_router_runs_changes_no_deadline() {
     let discovery = discovery_with_node(data_node());
--- a/crates/query-router/src/router/tests/endpoints.rs
+++ b/crates/query-router/src/router/tests/endpoints.rs
@@ -1,6 +1,7 @@
 //! Nodes that drain, restart, move and are removed.
 
 use super::*;
+use balancer::{EndpointHealth, Micros};
 
 #[test]
 fn draining_and_restarted_nodes_lose_what_was_queued_for_them() {
@@ -89,3 +90,67 @@
     assert!(rig.written(client).starts_with("HTTP/1.1 200"));
     assert_eq!(rig.peers.outgoing.last().map(|outgoing| outgoing.port), Some(73));
 }
+
+/// How long a node warms up in [`rig_with_slow_start`].
+const WARM_UP: Micros = 5_000_000;
+const HOUR: Micros = 3_600_000_000;
+
+fn rig_with_slow_start() -> Rig<RecordingPeers> {
+    let slow_start = format!(
+        r#""obligations":{{"coldFrom":0.2,"tipMultiple":1.5,"tipAfterNs":1000000000,"warmUpNs":{}000,"#,
+        WARM_UP
+    );
+    Rig::with_config(&CONFIG.replace(r#""obligations":{"#, &slow_start))
+}
+
+/// Lists a node that is ready, as discovery tells of a change; `started_at` is by discovery's clock.
+fn list_node(rig: &mut Rig<RecordingPeers>, id: &str, started_at: Micros) {
+    let list = serde_json::json!({"revision": 50, "members": [{"id": id, "host_port": "127.0.0.1:71", "cell": 0,
+        "phase": "ready", "size": 1.0, "up_since_ms": started_at / 1000}]});
+    rig.apply_list(&list, EndpointUpdate::Incremental);
+}
+
+fn is_warming_up(rig: &Rig<RecordingPeers>, node: usize) -> bool {
+    let health = rig.router.balancer.endpoint_health(rig.now, NodeId(node));
+    matches!(health, EndpointHealth::WarmingUp { .. })
+}
+
+#[test]
+fn node_that_starts_while_the_wall_clock_is_ahead_warms_up() {
+    let mut rig = rig_with_slow_start();
+    list_node(&mut rig, "a", 0);
+    rig.pass(WARM_UP);
+    // By the wall clock of this machine both started an hour ago.
+    let started_at = rig.now - HOUR;
+    list_node(&mut rig, "a", started_at);
+    list_node(&mut rig, "new", started_at);
+    assert!(is_warming_up(&rig, 0) && is_warming_up(&rig, 2));
+    // The same entries again are no news.
+    rig.pass(2 * WARM_UP);
+    list_node(&mut rig, "a", started_at);
+    list_node(&mut rig, "new", started_at);
+    assert!(!is_warming_up(&rig, 0) && !is_warming_up(&rig, 2));
+}
+
+#[test]
+fn node_whose_clock_was_set_back_over_its_restart_warms_up() {
+    let mut rig = rig_with_slow_start();
+    let first_start = rig.now - HOUR / 2;
+    list_node(&mut rig, "a", first_start);
+    rig.pass(WARM_UP);
+    assert!(!is_warming_up(&rig, 0));
+    list_node(&mut rig, "a", first_start - HOUR);
+    assert!(is_warming_up(&rig, 0));
+}
+
+#[test]
+fn node_that_started_long_ago_is_warm_also_if_it_is_listed_late() {
+    let mut rig = rig_with_slow_start();
+    // The youngest node that discovery names shows how far the wall clock may be ahead at most.
+    let started_at = rig.now - 1_000_000;
+    list_node(&mut rig, "a", started_at);
+    rig.pass(WARM_UP);
+    let started_at = rig.now - HOUR;
+    list_node(&mut rig, "new", started_at);
+    assert!(!is_warming_up(&rig, 2));
+}
