Starts of nodes are converted to the clock of this process

Cause: endpoints.rs and endpoint_table.rs compared up_since_ms, a time of discovery's wall clock, with the time of this process, whose wall clock was read once at the start and may be wrong; balancer.rs takes only a later start for a restart. settings-schema's start_times.rs now converts each start when it is first named: never in the future, for a restart not before the list that did not name it, less the 6 s in which a change is told; a node that is named long after its start is older than the youngest. The same in the control plane. The tests' rig now sets the time before it applies a list, which a test of restarts relied on only by chance. Left open: a process that starts with its clock ahead takes starts of its first list for old ones.

--- a/crates/control-plane/src/endpoint_table.rs
+++ b/crates/control-plane/src/endpoint_table.rs
@@ -10,8 +10,7 @@
 };
 use query_router::config::Config;
 use serde_json::Value as Json;
-use settings_schema::EndpointEntry;
-use settings_schema::IdInterner;
+use settings_schema::{EndpointEntry, IdInterner, NodeStart, StartTimes};
 use std::net::SocketAddr;
 
 /// Nodes that the table holds; entries beyond them are skipped.
@@ -67,6 +66,7 @@
     address: Option<SocketAddr>,
     zone: usize,
     replica_set: usize,
+    start: Option<NodeStart>,
 }
 
 /// A listed node with an address, and how healthy it is.
@@ -87,6 +87,7 @@
     records: Vec<EndpointRecord>,
     source: EndpointSource,
     unusable_entries: u64,
+    start_times: StartTimes,
 }
 
 impl EndpointTable {
@@ -98,6 +99,7 @@
             records: Vec::new(),
             source: EndpointSource::None,
             unusable_entries: 0,
+            start_times: StartTimes::default(),
         }
     }
 
@@ -113,6 +115,9 @@
                 None => self.unusable_entries += 1,
             }
         }
+        if matches!(update, EndpointUpdate::Full | EndpointUpdate::Incremental) {
+            self.start_times.list_received(now);
+        }
         self.balancer.endpoint_update_finished(now, actions);
     }
 
@@ -131,14 +136,16 @@
         }
         let (zone, address) = (site.zone_index(entry.zone), entry.address.parse().ok());
         self.unusable_entries += address.is_none() as u64;
-        self.records[index] = EndpointRecord { address, zone, replica_set: entry.replica_set };
+        let start = self.start_times.convert(now, entry.reported_start, self.records[index].start);
+        let replica_set = entry.replica_set;
+        self.records[index] = EndpointRecord { address, zone, replica_set, start: Some(start) };
         let endpoint = Endpoint {
             node: NodeId(index),
             zone,
             replica_set: entry.replica_set,
             state: entry.state,
             scale: entry.scale,
-            started_at: entry.started_at,
+            started_at: start.started_at(),
         };
         self.balancer.endpoint_listed(now, &endpoint);
         let source = match update {
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -253,6 +253,9 @@
         if list.update != EndpointUpdate::Incremental {
             context.endpoints.finish_full_update();
         }
+        if list.update != EndpointUpdate::Cached {
+            context.endpoints.finish_received_update(context.now);
+        }
         stored
     }
 
@@ -262,13 +265,14 @@
             return None;
         };
         let zone = self.zones.iter().position(|name| name == entry.zone).unwrap_or(self.zones.len());
+        let node = context.endpoints.store(context.now, &entry);
         Some(Endpoint {
-            node: context.endpoints.store(&entry),
+            node,
             zone,
             replica_set: entry.replica_set,
             state: entry.state,
             scale: entry.scale,
-            started_at: entry.started_at,
+            started_at: context.endpoints[node].started_at(),
         })
     }
 }
--- a/crates/query-router/src/router/dispatch.rs
+++ b/crates/query-router/src/router/dispatch.rs
@@ -156,7 +156,7 @@
     /// the node is not ready or has another address.
     pub fn apply_endpoint(&mut self, context: &mut Context, queries: &mut QueryTable, node: NodeId) {
         let endpoint = &context.endpoints[node];
-        let (ready, address, started_at) = (endpoint.ready, endpoint.address, endpoint.started_at);
+        let (ready, address, started_at) = (endpoint.ready, endpoint.address, endpoint.started_at());
         let connections = endpoint.connections.clone();
         if !ready {
             self.cancel_waiting(context, queries, node);
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -2,7 +2,7 @@
 
 use crate::io::ConnectionId;
 use balancer::{EndpointState, Micros, NodeId};
-use settings_schema::{EndpointEntry, IdInterner};
+use settings_schema::{EndpointEntry, IdInterner, NodeStart, StartTimes};
 use std::net::SocketAddr;
 use std::ops::{Index, IndexMut};
 
@@ -13,8 +13,8 @@
     pub address: Option<SocketAddr>,
     /// Whether new attempts may be sent to it.
     pub ready: bool,
-    /// When its process started, according to discovery.
-    pub started_at: Micros,
+    /// When its process started; `None` until an endpoint update has named it.
+    start: Option<NodeStart>,
     /// The number of the last update that listed it.
     last_update: u64,
     /// Whether the balancer has released it: its id becomes free once no connection is left.
@@ -25,11 +25,19 @@
     pub connections: Vec<ConnectionId>,
 }
 
+impl EndpointRecord {
+    /// When its process started by the clock of this process, 0 for long ago.
+    pub fn started_at(&self) -> Micros {
+        self.start.map_or(0, |start| start.started_at())
+    }
+}
+
 /// All endpoints by node.
 #[derive(Default)]
 pub struct Endpoints {
     records: Vec<EndpointRecord>,
     ids: IdInterner<String>,
+    start_times: StartTimes,
     updates: u64,
 }
 
@@ -40,7 +48,7 @@
     }
 
     /// Stores an entry of the update; returns its node, a new one if discovery has not named it before.
-    pub fn store(&mut self, entry: &EndpointEntry) -> NodeId {
+    pub fn store(&mut self, now: Micros, entry: &EndpointEntry) -> NodeId {
         let index = self.ids.intern(entry.id.to_string());
         if self.records.len() <= index {
             self.records.resize(index + 1, EndpointRecord::default());
@@ -48,12 +56,17 @@
         let record = &mut self.records[index];
         record.address = entry.address.parse().ok();
         record.ready = entry.state == EndpointState::Ready;
-        record.started_at = entry.started_at;
+        record.start = Some(self.start_times.convert(now, entry.reported_start, record.start));
         record.last_update = self.updates;
         record.released = false;
         NodeId(index)
     }
 
+    /// Ends an update that discovery has sent.
+    pub fn finish_received_update(&mut self, now: Micros) {
+        self.start_times.list_received(now);
+    }
+
     /// Ends an update that names all endpoints: the others are not ready any more.
     pub fn finish_full_update(&mut self) {
         for record in &mut self.records {
--- a/crates/query-router/src/router/tests/rig.rs
+++ b/crates/query-router/src/router/tests/rig.rs
@@ -294,6 +294,7 @@
 
     /// Applies an endpoint list, without carrying out what the router asks for.
     pub fn apply_list(&mut self, list: &Json, update: EndpointUpdate) {
+        self.router.state.context.now = self.now;
         self.router.apply_endpoint_list(&EndpointList { update, json: list.clone() });
     }
 
--- a/crates/settings-schema/src/endpoints.rs
+++ b/crates/settings-schema/src/endpoints.rs
@@ -36,8 +36,8 @@
     pub state: EndpointState,
     /// Its size relative to others, 1 if absent.
     pub scale: f64,
-    /// When its process started, in microseconds; 0 if absent.
-    pub started_at: Micros,
+    /// When its process started by the wall clock of discovery, in microseconds; 0 if absent.
+    pub reported_start: Micros,
 }
 
 impl<'a> EndpointEntry<'a> {
@@ -53,7 +53,7 @@
             replica_set: entry["cell"].as_u64()? as usize,
             state: endpoint_state(text("phase"))?,
             scale: entry["size"].as_f64().unwrap_or(DEFAULT_SCALE),
-            started_at: started_at_ms.saturating_mul(MICROSECONDS_PER_MILLISECOND),
+            reported_start: started_at_ms.saturating_mul(MICROSECONDS_PER_MILLISECOND),
         })
     }
 }
--- a/crates/settings-schema/src/endpoints/tests.rs
+++ b/crates/settings-schema/src/endpoints/tests.rs
@@ -12,7 +12,7 @@
         replica_set: 2,
         state: EndpointState::Draining,
         scale: 0.5,
-        started_at: 3000,
+        reported_start: 3000,
     };
     assert_eq!(EndpointEntry::parse(&entry), Some(expected));
 }
@@ -21,7 +21,7 @@
 fn what_an_entry_may_omit_has_a_default() {
     let entry = json!({"id": "a", "cell": 0, "phase": "ready"});
     let entry = EndpointEntry::parse(&entry).expect("an entry");
-    assert_eq!((entry.address, entry.zone, entry.scale, entry.started_at), ("", "", 1.0, 0));
+    assert_eq!((entry.address, entry.zone, entry.scale, entry.reported_start), ("", "", 1.0, 0));
 }
 
 #[test]
--- a/crates/settings-schema/src/lib.rs
+++ b/crates/settings-schema/src/lib.rs
@@ -7,9 +7,11 @@
 mod ids;
 mod load;
 mod settings;
+mod start_times;
 mod terms;
 
 pub use endpoints::{EndpointEntry, endpoint_state};
 pub use ids::IdInterner;
 pub use load::parse_load_metrics;
 pub use settings::{SettingsError, StatedSettings, parse_settings};
+pub use start_times::{NodeStart, StartTimes};
