Soak test with real processes, and two rules that it finds broken

crates/soak runs routers, data nodes behind proxies and clients as processes, draws overlapping troubles from a seed and judges all records by invariants. The judge leaves out what reached a node late because the test held the node or its path (earlier false alarms).

--- a/crates/cli/tests/loopback/serving.rs
+++ b/crates/cli/tests/loopback/serving.rs
@@ -1,8 +1,9 @@
 //! Complete queries, from the first request to the exit of the router.
 
-use crate::rig::{Client, RouterProcess};
+use crate::rig::{Client, DataNode, RouterProcess, frame, query, start_with_node};
 use rustix::process::Signal;
 use serde_json::{Value as Json, json};
+use std::time::Duration;
 use test_servers::{Discovery, data_node, member};
 
 /// The number of shards, each of which every query asks for.
@@ -105,3 +106,24 @@
     let values = matches.iter().map(|entry| entry["payload"].to_string());
     assert!(values.eq((0..SHARDS).map(|shard| format!("\"q/{shard}\""))), "{body}");
 }
+
+#[test]
+fn pipelined_request_has_only_the_time_that_is_left_since_it_came() {
+    let deadline = Duration::from_secs(4);
+    let node = DataNode::new();
+    let (router, _discovery) = start_with_node("pipelined-deadline", node.address, deadline);
+    let mut client = router.connect();
+    client.send(&(query("pay", "t1", deadline) + &query("pay", "t2", deadline)));
+    let mut connection = node.accept();
+    assert!(connection.read_frame().1.starts_with("t1.0 "));
+    let waited = Duration::from_secs(2);
+    std::thread::sleep(waited);
+    connection.send(&frame(b'Y', "t1.0 OK 5 -\none"));
+    assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
+    let (_, text) = connection.read_frame();
+    let wait_ms = text.split("d=").nth(1).and_then(|rest| rest.split(' ').next()?.parse::<u64>().ok());
+    let wait = Duration::from_millis(wait_ms.expect("a time"));
+    assert!(wait <= deadline - waited, "{wait:?} is stated");
+    connection.send(&frame(b'Y', "t2.0 OK 5 -\ntwo"));
+    assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
+}
--- a/crates/query-router/src/router/tests/clients.rs
+++ b/crates/query-router/src/router/tests/clients.rs
@@ -62,3 +62,29 @@
     rig.pass(200_000);
     assert_eq!(rig.router.state.context.connections.clients().count(), 0);
 }
+
+/// Service classes whose deadline is longer than a client that stops in the middle of a request may be kept.
+fn rig_with_long_deadlines() -> Rig<RecordingPeers> {
+    Rig::with_config(&CONFIG.replace(r#""deadlineNs":2000000000"#, r#""deadlineNs":20000000000"#))
+}
+
+#[test]
+fn client_that_stops_in_the_middle_of_a_request_is_ended_within_three_seconds() {
+    let mut rig = rig_with_long_deadlines();
+    let client = rig.client();
+    rig.receive(client, b"POST /api HT");
+    rig.pass(2_900_000);
+    assert!(rig.written(client).starts_with("HTTP/1.1 408"), "{}", rig.written(client));
+}
+
+#[test]
+fn client_that_writes_slowly_is_served() {
+    let mut rig = rig_with_long_deadlines();
+    let client = rig.client();
+    let request = post("look", "t1", r#"{"segments":[{"segment":0,"boost":1}],"text":"q"}"#);
+    for end in [10, 20, 30, 40, request.len()] {
+        rig.receive(client, &request.as_bytes()[..end]);
+        rig.pass(1_000_000);
+    }
+    assert_eq!(rig.router.counters().queries_accepted, 1);
+}
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,464 @@
+//! The invariants. Each violation names the rule, the ids and the times.
+
+use crate::clock::{MILLISECOND, Micros, SECOND};
+use crate::cluster::{Cluster, Published};
+use crate::config::{
+    BUDGET_SHARE, BUDGET_WINDOW_MS, CLASSES, COLD_MULTIPLE, COLD_SHARE, COLD_WINDOW_MS, DRAIN_GRACE_MS,
+    FREE_ATTEMPTS, MEAN_WORK_MS, WARM_UP_MS,
+};
+use crate::discovery::Mood;
+use crate::record::Record;
+use crate::router_process::Incident;
+use serde_json::Value as Json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// What the operators allow beside each time limit, and what the machine of the test may add.
+const PROTOCOL_SLACK: Micros = 50 * MILLISECOND;
+const MEASURING_SLACK: Micros = 150 * MILLISECOND;
+/// How long a router may be held up between reading its clock and writing.
+const HOLD_UP: Micros = 150 * MILLISECOND;
+/// How much longer an answer may take before its request counts as lost.
+const LATE_ANSWER: Micros = 500 * MILLISECOND;
+/// How long after its client left a request may still be sent to nodes.
+const AFTER_LEAVING: Micros = 100 * MILLISECOND;
+/// How long a client that stopped in the middle of a request waits for its end.
+const BAD_CLIENT_LIMIT: Micros = 3 * SECOND;
+/// How long after a node or the way to it was held up what was sent before still reaches it.
+const AFTER_HOLD: Micros = 1200 * MILLISECOND;
+/// When a change counts as told at the latest once discovery can be reached.
+const TOLD_AFTER: Micros = 6 * SECOND;
+
+/// A broken rule.
+#[derive(Debug)]
+pub struct Violation {
+    /// The rule.
+    pub rule: &'static str,
+    /// When it was broken.
+    pub at: Micros,
+    /// Ids and figures.
+    pub details: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "{} at {} ms: {}", self.rule, self.at / MILLISECOND, self.details)
+    }
+}
+
+/// A request as its client saw it.
+struct Request<'a> {
+    at: Micros,
+    router: usize,
+    class: &'a str,
+    expires_ms: i64,
+    shards: &'a [usize],
+    answer: Option<(Micros, u16, &'a str)>,
+    left_at: Option<Micros>,
+}
+
+struct Attempt<'a> {
+    at: Micros,
+    node: usize,
+    /// The id of the shard request.
+    id: &'a str,
+    /// The id of the query.
+    query: &'a str,
+    wait_ms: i64,
+    is_executed: bool,
+}
+
+/// What is judged.
+struct Judge<'a> {
+    cluster: &'a Cluster,
+    requests: BTreeMap<&'a str, Request<'a>>,
+    attempts: Vec<Attempt<'a>>,
+    violations: Vec<Violation>,
+}
+
+/// How much was judged.
+#[derive(Debug, Default)]
+pub struct Totals {
+    pub requests: usize,
+    pub complete: usize,
+    pub rejected: usize,
+    pub failed: usize,
+    pub attempts: usize,
+    pub further_attempts: usize,
+}
+
+/// Judges a run that has ended.
+pub fn judge(cluster: &Cluster, records: &[Record]) -> (Totals, Vec<Violation>) {
+    let mut judge = Judge::new(cluster, records);
+    judge.check_lost(records);
+    judge.check_answers();
+    judge.check_effects();
+    judge.check_attempts();
+    judge.check_drains();
+    judge.check_cold_nodes();
+    judge.check_budget();
+    judge.check_clients(records);
+    judge.check_routers();
+    judge.violations.sort_by_key(|violation| violation.at);
+    (judge.totals(), judge.violations)
+}
+
+impl<'a> Judge<'a> {
+    fn new(cluster: &'a Cluster, records: &'a [Record]) -> Judge<'a> {
+        let mut requests = BTreeMap::new();
+        let mut attempts = Vec::new();
+        for record in records {
+            match record {
+                Record::Asked { at, router, id, class, expires_ms, shards } => {
+                    let request = Request {
+                        at: *at,
+                        router: *router,
+                        class,
+                        expires_ms: *expires_ms,
+                        shards,
+                        answer: None,
+                        left_at: None,
+                    };
+                    requests.insert(id.as_str(), request);
+                }
+                Record::Received { at, node, id, wait_ms, is_executed } => {
+                    let query = id.rsplit_once('.').map_or(id.as_str(), |(query, _)| query);
+                    let (at, node, wait_ms, is_executed) = (*at, *node, *wait_ms, *is_executed);
+                    attempts.push(Attempt { at, node, id, query, wait_ms, is_executed });
+                }
+                _ => {}
+            }
+        }
+        for record in records {
+            match record {
+                Record::Answered { at, id, status, body } => {
+                    if let Some(request) = requests.get_mut(id.as_str()) {
+                        request.answer = Some((*at, *status, body));
+                    }
+                }
+                Record::Left { at, id } => {
+                    if let Some(request) = requests.get_mut(id.as_str()) {
+                        request.left_at = Some(*at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        attempts.sort_by_key(|attempt| attempt.at);
+        Judge { cluster, requests, attempts, violations: Vec::new() }
+    }
+
+    fn add(&mut self, rule: &'static str, at: Micros, details: String) {
+        self.violations.push(Violation { rule, at, details });
+    }
+
+    /// Whether a router's process was killed in this time.
+    fn was_killed(&self, router: usize, from: Micros, until: Micros) -> bool {
+        let incidents = self.cluster.routers[router].incidents.iter();
+        let mut kills =
+            incidents.filter(|(_, incident)| matches!(incident, Incident::Killed | Incident::Crashed));
+        kills.any(|(at, _)| (from - SECOND..until + SECOND).contains(at))
+    }
+
+    /// Each request gets its final answer in time.
+    fn check_lost(&mut self, records: &[Record]) {
+        for record in records {
+            let Record::Lost { at, id, is_new_connection, is_timeout } = record else { continue };
+            let Some(request) = self.requests.get(id.as_str()) else { continue };
+            if !self.was_killed(request.router, request.at, *at) {
+                let details = format!(
+                    "{id} ({}) of router {}: {} after {} ms on a {} connection",
+                    request.class,
+                    request.router,
+                    if *is_timeout { "no answer" } else { "closed" },
+                    (at - request.at) / MILLISECOND,
+                    if *is_new_connection { "new" } else { "used" }
+                );
+                self.add("lost", *at, details);
+            }
+        }
+        let mut late = Vec::new();
+        for (id, request) in &self.requests {
+            let Some((at, status, _)) = request.answer else { continue };
+            let limit = request.expires_ms * MILLISECOND + LATE_ANSWER + MEASURING_SLACK;
+            if at - request.at > limit {
+                late.push((at, format!("{id}: {status} after {} ms", (at - request.at) / MILLISECOND)));
+            }
+        }
+        for (at, details) in late {
+            self.add("late answer", at, details);
+        }
+    }
+
+    /// Answers say what nodes answered.
+    fn check_answers(&mut self) {
+        let mut false_answers = Vec::new();
+        for (id, request) in &self.requests {
+            let Some((at, 200, body)) = request.answer else { continue };
+            if let Err(reason) = check_body(id, request.shards, body) {
+                false_answers.push((at, format!("{id}: {reason}: {body}")));
+            }
+        }
+        for (at, details) in false_answers {
+            self.add("false answer", at, details);
+        }
+    }
+
+    /// What may not be repeated is executed once, and not at all where the answer says so.
+    fn check_effects(&mut self) {
+        let mut executed: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+        for attempt in self.attempts.iter().filter(|attempt| attempt.is_executed) {
+            executed.entry(attempt.id).or_default().push(attempt);
+        }
+        let mut broken = Vec::new();
+        for (id, attempts) in executed {
+            let Some(request) = self.requests.get(attempts[0].query) else { continue };
+            let may_repeat = CLASSES.iter().any(|class| class.name == request.class && class.is_idempotent);
+            if may_repeat {
+                continue;
+            }
+            let nodes: Vec<usize> = attempts.iter().map(|attempt| attempt.node).collect();
+            if attempts.len() > 1 {
+                broken.push(("executed twice", attempts[1].at, format!("{id} at nodes {nodes:?}")));
+            }
+            if let Some((at, 429 | 503, _)) = request.answer {
+                broken.push(("rejected and executed", at, format!("{id} at nodes {nodes:?}")));
+            }
+        }
+        for (rule, at, details) in broken {
+            self.add(rule, at, details);
+        }
+    }
+
+    /// Whether an attempt may have been sent much earlier than its node got it.
+    fn may_be_held(&self, attempt: &Attempt) -> bool {
+        let mut holds = self.cluster.holds.iter().filter(|hold| hold.node == attempt.node);
+        holds.any(|hold| {
+            let until = hold.until.map_or(Micros::MAX, |until| until + AFTER_HOLD);
+            (hold.from..until).contains(&attempt.at)
+        })
+    }
+
+    /// Attempts come while their client waits, and state no more time than it has left.
+    fn check_attempts(&mut self) {
+        let mut broken = Vec::new();
+        for attempt in self.attempts.iter().filter(|attempt| !self.may_be_held(attempt)) {
+            let Some(request) = self.requests.get(attempt.query) else { continue };
+            let describe = |more: String| format!("{} at node {}: {more}", attempt.id, attempt.node);
+            let left = request.at + request.expires_ms * MILLISECOND - attempt.at;
+            let excess = attempt.wait_ms * MILLISECOND - left;
+            if excess > HOLD_UP + MEASURING_SLACK {
+                let more = format!("states {} ms, {} ms are left", attempt.wait_ms, left / MILLISECOND);
+                broken.push(("deadline too long", attempt.at, describe(more)));
+            }
+            let ended_at = request.left_at.or(request.answer.map(|(at, _, _)| at));
+            let ended_before = ended_at.map_or(0, |ended_at| attempt.at - ended_at);
+            if ended_before > AFTER_LEAVING + HOLD_UP + MEASURING_SLACK {
+                let more = format!("{} ms after its end", ended_before / MILLISECOND);
+                broken.push(("sent after the end", attempt.at, describe(more)));
+            }
+        }
+        for (rule, at, details) in broken {
+            self.add(rule, at, details);
+        }
+    }
+
+    /// When a router was told a change, or counts as told.
+    fn told_at(&self, router: usize, change: &Published) -> Option<Micros> {
+        let told = self.cluster.discovery.told_at(router, change.revision);
+        let reachable = self.reachable_for_long(change.at).map(|from| from + TOLD_AFTER);
+        told.into_iter().chain(reachable).min()
+    }
+
+    /// The first time from `since` on from which discovery could be reached for as long as it may take to tell a change.
+    fn reachable_for_long(&self, since: Micros) -> Option<Micros> {
+        let moods = &self.cluster.moods;
+        let ends = moods.iter().skip(1).map(|(at, _)| *at).chain([Micros::MAX]);
+        let mut periods = moods.iter().zip(ends).filter(|((_, mood), _)| *mood == Mood::Well);
+        periods.find_map(|(&(from, _), until)| {
+            let from = from.max(since);
+            (until >= from.saturating_add(TOLD_AFTER)).then_some(from)
+        })
+    }
+
+    /// Nodes that drain or are gone get nothing new.
+    fn check_drains(&mut self) {
+        let grace = DRAIN_GRACE_MS * MILLISECOND + PROTOCOL_SLACK + HOLD_UP + MEASURING_SLACK;
+        let mut broken = Vec::new();
+        for (index, change) in
+            self.cluster.published.iter().enumerate().filter(|(_, change)| !change.is_ready)
+        {
+            let later = self.cluster.published[index + 1..].iter();
+            let ready_again = later.filter(|later| later.node == change.node).find(|later| later.is_ready);
+            let until = ready_again.map_or(Micros::MAX, |ready| ready.at);
+            let told: Vec<Option<Micros>> =
+                (0..self.cluster.routers.len()).map(|router| self.told_at(router, change)).collect();
+            let at_node = self.attempts.iter().filter(|attempt| attempt.node == change.node);
+            for attempt in at_node.filter(|attempt| !self.may_be_held(attempt)) {
+                let Some(request) = self.requests.get(attempt.query) else { continue };
+                let Some(told_at) = told[request.router] else { continue };
+                if attempt.at > told_at + grace && attempt.at < until {
+                    let after = (attempt.at - told_at) / MILLISECOND;
+                    let details = format!(
+                        "{} of router {} at node {}: {after} ms after revision {} was told",
+                        attempt.id, request.router, attempt.node, change.revision
+                    );
+                    broken.push((attempt.at, details));
+                }
+            }
+        }
+        for (at, details) in broken {
+            self.add("drain", at, details);
+        }
+    }
+
+    /// Nodes that started recently get no more than they bear.
+    fn check_cold_nodes(&mut self) {
+        let mut broken = Vec::new();
+        for start in self.cluster.published.iter().filter(|change| change.is_ready && change.started_at > 0) {
+            let until = start.started_at + WARM_UP_MS * MILLISECOND;
+            let is_meant = |attempt: &&Attempt| {
+                attempt.node == start.node
+                    && (start.started_at..until).contains(&attempt.at)
+                    && !self.may_be_held(attempt)
+            };
+            let attempts: Vec<&Attempt> = self.attempts.iter().filter(is_meant).collect();
+            let overload = attempts.iter().enumerate().find_map(|(last, attempt)| {
+                let from = attempt.at - COLD_WINDOW_MS * MILLISECOND;
+                let window: Vec<&&Attempt> =
+                    attempts[..=last].iter().filter(|other| other.at > from).collect();
+                let told = window.iter().filter(|other| self.was_told(other, start)).count();
+                let allowed = cold_allowance(attempt.at - start.started_at);
+                let is_overload = window.len() as f64 > allowed && 3 * told > 2 * window.len();
+                is_overload.then(|| (attempt.at, window.len(), allowed))
+            });
+            if let Some((at, count, allowed)) = overload {
+                let age = (at - start.started_at) / MILLISECOND;
+                let details =
+                    format!("node {}: {count} where {allowed:.0} are allowed, {age} ms old", start.node);
+                broken.push((at, details));
+            }
+        }
+        for (at, details) in broken {
+            self.add("cold overload", at, details);
+        }
+    }
+
+    fn was_told(&self, attempt: &Attempt, start: &Published) -> bool {
+        let Some(request) = self.requests.get(attempt.query) else { return false };
+        let told = self.cluster.discovery.told_at(request.router, start.revision);
+        told.is_some_and(|told| told <= attempt.at)
+    }
+
+    /// Further attempts keep to the budget, counted for each router over the whole run.
+    fn check_budget(&mut self) {
+        let mut first: BTreeSet<&str> = BTreeSet::new();
+        let mut further: BTreeMap<usize, (usize, Micros)> = BTreeMap::new();
+        let mut arrivals: BTreeMap<usize, usize> = BTreeMap::new();
+        for request in self.requests.values() {
+            *arrivals.entry(request.router).or_default() += 1 + request.shards.len();
+        }
+        for attempt in &self.attempts {
+            let Some(request) = self.requests.get(attempt.query) else { continue };
+            if !first.insert(attempt.id) {
+                let entry = further.entry(request.router).or_default();
+                *entry = (entry.0 + 1, attempt.at);
+            }
+        }
+        let span = self.attempts.last().map_or(0, |last| last.at - self.attempts[0].at);
+        let windows = (span / (BUDGET_WINDOW_MS * MILLISECOND) + 1) as f64;
+        for (router, (count, at)) in further {
+            let starts = self.cluster.routers[router].incidents.iter();
+            let starts = starts.filter(|(_, incident)| *incident == Incident::Started).count() as f64;
+            let arrived = arrivals.get(&router).copied().unwrap_or(0) as f64;
+            let allowed = FREE_ATTEMPTS * (windows + starts) + BUDGET_SHARE * arrived;
+            if count as f64 > allowed {
+                let details =
+                    format!("router {router}: {count} further attempts where {allowed:.0} are allowed");
+                self.add("budget", at, details);
+            }
+        }
+    }
+
+    /// Clients that stop in the middle are ended in time, and nothing follows the final answer.
+    fn check_clients(&mut self, records: &[Record]) {
+        for record in records {
+            match record {
+                Record::BadClientEnded { at, router, after, is_ended_by_router } => {
+                    let is_in_time = *is_ended_by_router && *after <= BAD_CLIENT_LIMIT + MEASURING_SLACK;
+                    if !is_in_time && !self.was_killed(*router, at - after, *at) {
+                        let details = format!("router {router}: not ended after {} ms", after / MILLISECOND);
+                        self.add("bad client kept", *at, details);
+                    }
+                }
+                Record::SentAfterAnswer { at, id } => self.add("sent after the answer", *at, id.clone()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Routers start, run and end as they should, and report no violation of their own.
+    fn check_routers(&mut self) {
+        let cluster = self.cluster;
+        for router in &cluster.routers {
+            let log = router.log.lock().expect("a lock");
+            for &(at, incident) in &router.incidents {
+                if matches!(incident, Incident::Crashed | Incident::NotReady) {
+                    let last: Vec<&String> = log.iter().rev().take(3).collect();
+                    self.add("router ended", at, format!("router {}: {incident:?}: {last:?}", router.index));
+                }
+            }
+            for line in log.iter() {
+                let is_violation = line.starts_with("invariants_violated ") && !line.ends_with(" 0");
+                if is_violation || line.contains("panicked") || line.contains("rule violated") {
+                    self.add("router's own check", 0, format!("router {}: {line}", router.index));
+                }
+            }
+        }
+    }
+
+    fn totals(&self) -> Totals {
+        let mut totals =
+            Totals { requests: self.requests.len(), attempts: self.attempts.len(), ..Totals::default() };
+        for request in self.requests.values() {
+            match request.answer {
+                Some((_, 200, _)) => totals.complete += 1,
+                Some((_, 429 | 503, _)) => totals.rejected += 1,
+                Some(_) => totals.failed += 1,
+                None => {}
+            }
+        }
+        let distinct: BTreeSet<&str> = self.attempts.iter().map(|attempt| attempt.id).collect();
+        totals.further_attempts = totals.attempts - distinct.len();
+        totals
+    }
+}
+
+/// Says what is wrong with the body of an answer.
+fn check_body(id: &str, shards: &[usize], body: &str) -> Result<(), &'static str> {
+    let body: Json = serde_json::from_str(body).map_err(|_| "not JSON")?;
+    let matches = body["matches"].as_array().ok_or("no matches")?;
+    let mut seen = BTreeSet::new();
+    for value in matches {
+        let shard = value["segment"].as_u64().ok_or("no segment")? as usize;
+        if !shards.contains(&shard) || !seen.insert(shard) {
+            return Err("a shard that was not asked for, or twice");
+        }
+        if value["payload"] != format!("{shard}/{id}") {
+            return Err("a value that no node made");
+        }
+    }
+    let is_complete = seen.len() == shards.len();
+    if seen.is_empty() || body["all_in"] == Json::Bool(true) && !is_complete {
+        return Err("marked complete and is not");
+    }
+    Ok(())
+}
+
+/// How many shard requests a node of this age may get in a window.
+fn cold_allowance(age: Micros) -> f64 {
+    let window = (COLD_WINDOW_MS * MILLISECOND) as f64;
+    let capacity = COLD_SHARE + (1.0 - COLD_SHARE) * age as f64 / (WARM_UP_MS * MILLISECOND) as f64;
+    let count = COLD_MULTIPLE * capacity * window / (MEAN_WORK_MS as f64 * MILLISECOND as f64);
+    if count < 30.0 { count + 3.0 * count.sqrt() + 3.0 } else { count + 2.0 * count.sqrt() + 2.0 }
+}
--- /dev/null
+++ b/crates/soak/src/node.rs
@@ -0,0 +1,187 @@
+//! A data node as a process. Its behaviour changes by lines on standard input.
+
+use crate::clock::{now, sleep_ms};
+use crate::config::MEAN_WORK_MS;
+use crate::record::Record;
+use argh::FromArgs;
+use std::collections::HashSet;
+use std::io::{BufRead, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Serve shard requests as a data node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "node")]
+pub struct Node {
+    /// the node's index
+    #[argh(option)]
+    index: usize,
+}
+
+/// How a data node behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Behaviour {
+    /// Answers each shard request.
+    Serve,
+    /// Rejects each shard request without executing it.
+    Reject,
+    /// Executes, and never answers.
+    Hang,
+    /// Executes, and resets the connection in place of the answer.
+    Reset,
+    /// Answers in part and goes silent.
+    HalfAnswer,
+    /// Answers with noise.
+    Noise,
+    /// Answers much later.
+    Slow,
+    /// Answers with an error.
+    Fail,
+    /// Closes each connection behind an answer.
+    CloseIdle,
+}
+
+/// All behaviours in the order of their numbers.
+pub const BEHAVIOURS: [Behaviour; 9] = [
+    Behaviour::Serve,
+    Behaviour::Reject,
+    Behaviour::Hang,
+    Behaviour::Reset,
+    Behaviour::HalfAnswer,
+    Behaviour::Noise,
+    Behaviour::Slow,
+    Behaviour::Fail,
+    Behaviour::CloseIdle,
+];
+
+/// How long a slow node takes.
+const SLOW_MS: u64 = 600;
+
+struct Shared {
+    index: usize,
+    behaviour: AtomicU8,
+}
+
+impl Shared {
+    fn behaviour(&self) -> Behaviour {
+        BEHAVIOURS[self.behaviour.load(Ordering::SeqCst) as usize]
+    }
+}
+
+/// A connection from a router.
+struct Connection {
+    stream: TcpStream,
+    cancelled: Mutex<HashSet<String>>,
+}
+
+impl Node {
+    /// Serves until standard input ends.
+    pub fn run(self) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        Record::Ready { address }.print();
+        let shared = Arc::new(Shared { index: self.index, behaviour: AtomicU8::new(0) });
+        let served = shared.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = served.clone();
+                std::thread::spawn(move || serve(stream, &shared));
+            }
+        });
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            if let Ok(number) = line.trim().parse() {
+                shared.behaviour.store(number, Ordering::SeqCst);
+            }
+        }
+    }
+}
+
+/// Reads frames until the router closes.
+fn serve(mut stream: TcpStream, shared: &Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let Ok(writer) = stream.try_clone() else { return };
+    let connection = Arc::new(Connection { stream: writer, cancelled: Mutex::new(HashSet::new()) });
+    let mut head = [0; 5];
+    while stream.read_exact(&mut head).is_ok() {
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let mut payload = vec![0; length.saturating_sub(1)];
+        if stream.read_exact(&mut payload).is_err() {
+            return;
+        }
+        let text = String::from_utf8_lossy(&payload).into_owned();
+        match head[4] {
+            b'R' => receive_batch(&text, &connection, shared),
+            b'A' => {
+                connection.cancelled.lock().expect("a lock").insert(text);
+            }
+            b'G' => send(&connection.stream, b'G', "OK"),
+            b'T' => send(&connection.stream, b'T', "-"),
+            _ => return,
+        }
+    }
+}
+
+/// Reports each shard request of a batch and works on it.
+fn receive_batch(batch: &str, connection: &Arc<Connection>, shared: &Arc<Shared>) {
+    let at = now();
+    let behaviour = shared.behaviour();
+    let mut rest = batch;
+    while let Some((line, tail)) = rest.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let wait_ms = words[2].strip_prefix("d=").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        let (query, next) = tail.split_at(words[3].parse().expect("a length"));
+        let id = words[0].to_string();
+        let is_executed = behaviour != Behaviour::Reject;
+        Record::Received { at, node: shared.index, id: id.clone(), wait_ms, is_executed }.print();
+        let value = format!("{}/{query}", words[1]);
+        let connection = connection.clone();
+        std::thread::spawn(move || answer(&connection, behaviour, &id, &value));
+        rest = next;
+    }
+}
+
+/// Works on a shard request and answers it.
+fn answer(connection: &Connection, behaviour: Behaviour, id: &str, value: &str) {
+    let work = match behaviour {
+        Behaviour::Reject => 0,
+        Behaviour::Slow => SLOW_MS,
+        _ => fastrand::u64(MEAN_WORK_MS / 2..=MEAN_WORK_MS * 3 / 2),
+    };
+    sleep_ms(work);
+    let is_cancelled = connection.cancelled.lock().expect("a lock").remove(id);
+    if is_cancelled {
+        return;
+    }
+    match behaviour {
+        Behaviour::Serve | Behaviour::Slow => {
+            send(&connection.stream, b'Y', &format!("{id} OK 1 -\n{value}"))
+        }
+        Behaviour::Reject => send(&connection.stream, b'Y', &format!("{id} REJECTED 0 -\n")),
+        Behaviour::Fail => send(&connection.stream, b'Y', &format!("{id} ERROR 0 -\n")),
+        Behaviour::Hang => {}
+        Behaviour::Reset => reset(&connection.stream),
+        Behaviour::HalfAnswer => {
+            let _ = (&connection.stream).write_all(&[0, 0, 0, 40, b'Y', b't']);
+        }
+        Behaviour::Noise => {
+            let _ = (&connection.stream).write_all(b"\x00\x00\x00\x05noise");
+        }
+        Behaviour::CloseIdle => {
+            send(&connection.stream, b'Y', &format!("{id} OK 1 -\n{value}"));
+            let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn send(mut stream: &TcpStream, letter: u8, payload: &str) {
+    let length = (payload.len() as u32 + 1).to_be_bytes();
+    let _ = stream.write_all(&[&length[..], &[letter], payload.as_bytes()].concat());
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: &TcpStream) {
+    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(std::time::Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/crates/soak/src/node_process.rs
@@ -0,0 +1,79 @@
+//! Processes that print records: data nodes and clients.
+
+use crate::record::Record;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How long a process may take to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The records of all processes of a run.
+pub type Records = Arc<Mutex<Vec<Record>>>;
+
+/// A process of this program that prints records. It is killed when the value is dropped.
+pub struct RecordingProcess {
+    child: Child,
+    stdin: Option<ChildStdin>,
+    /// Where it listens, if it does.
+    pub address: String,
+}
+
+impl RecordingProcess {
+    /// Starts a sub-command and waits until it is ready.
+    pub fn start(arguments: &[String], records: &Records) -> RecordingProcess {
+        let program = std::env::current_exe().expect("the path of this program");
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("a process");
+        let stdin = child.stdin.take();
+        let ready = collect(child.stdout.take().expect("standard output"), records.clone());
+        let address = ready.recv_timeout(START_TIMEOUT).expect("the process is ready");
+        RecordingProcess { child, stdin, address }
+    }
+
+    /// Sends a line to its standard input; false if it has ended.
+    pub fn tell(&mut self, line: &str) -> bool {
+        self.stdin.as_mut().is_some_and(|stdin| writeln!(stdin, "{line}").is_ok())
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends its standard input and waits for its exit.
+    pub fn finish(&mut self) {
+        self.stdin = None;
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for RecordingProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Collects the records of a process on a thread; passes its address on once it is ready.
+fn collect(output: std::process::ChildStdout, records: Records) -> Receiver<String> {
+    let (sender, receiver) = channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            match serde_json::from_str(&line) {
+                Ok(Record::Ready { address }) => {
+                    let _ = sender.send(address);
+                }
+                Ok(record) => records.lock().expect("a lock").push(record),
+                Err(error) => eprintln!("soak: a line that is no record: {error}: {line}"),
+            }
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,124 @@
+//! Runs the soak test for one seed after another.
+
+use crate::clock::{MILLISECOND, SECOND, now, sleep_ms};
+use crate::cluster::{Cluster, Size};
+use crate::judge::judge;
+use crate::troubles::Schedule;
+use argh::FromArgs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Run the soak test and judge it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// the seeds, separated by commas; default 1
+    #[argh(option, default = "String::from(\"1\")")]
+    seeds: String,
+    /// how long the troubles of each seed last; default 20
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// how many routers run; default 6
+    #[argh(option, default = "6")]
+    routers: usize,
+    /// how many data nodes run; default 10
+    #[argh(option, default = "10")]
+    nodes: usize,
+    /// how many client processes each router has; default 2
+    #[argh(option, default = "2")]
+    clients: usize,
+    /// the router's program; default: query-router beside this program
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// print what was done and what the routers logged
+    #[argh(switch)]
+    verbose: bool,
+}
+
+/// The mean time from one trouble to the next.
+const TROUBLE_INTERVAL_MS: i64 = 700;
+/// How long everything may settle in the end.
+const SETTLE_TIME_MS: u64 = 500;
+
+impl Run {
+    /// Runs all seeds; fails if a rule was broken.
+    pub fn run(self) -> ExitCode {
+        if !fault_control::IS_SUPPORTED {
+            eprintln!("soak: faults of system calls can be injected on Linux on x86-64 only");
+            return ExitCode::FAILURE;
+        }
+        let seeds: Result<Vec<u64>, _> = self.seeds.split(',').map(str::parse).collect();
+        let Ok(seeds) = seeds else {
+            eprintln!("soak: --seeds takes whole numbers, separated by commas");
+            return ExitCode::FAILURE;
+        };
+        let program = self.program.clone().unwrap_or_else(default_program);
+        let violations: usize = seeds.into_iter().map(|seed| self.run_seed(&program, seed)).sum();
+        if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    }
+
+    /// Runs one seed and prints its violations. Returns their number.
+    fn run_seed(&self, program: &Path, seed: u64) -> usize {
+        let size = Size { routers: self.routers, nodes: self.nodes, clients_per_router: self.clients };
+        let mut cluster = Cluster::start(size, program, seed);
+        let mut schedule = Schedule::new(seed);
+        let started = now();
+        let mut next_trouble_at = started + SECOND;
+        let end = started + self.seconds as i64 * SECOND;
+        while now() < end || !schedule.is_empty() {
+            if now() >= next_trouble_at && now() < end {
+                schedule.add_trouble(&cluster);
+                next_trouble_at = now() + schedule.draw(2 * TROUBLE_INTERVAL_MS) * MILLISECOND;
+            }
+            schedule.run_due(&mut cluster);
+            sleep_ms(5);
+        }
+        sleep_ms(SETTLE_TIME_MS);
+        cluster.finish();
+        self.report(&cluster, &schedule, seed)
+    }
+
+    fn report(&self, cluster: &Cluster, schedule: &Schedule, seed: u64) -> usize {
+        let records = cluster.records.lock().expect("a lock");
+        let (totals, violations) = judge(cluster, &records);
+        let faults: u64 = cluster.routers.iter().map(|router| router.control.injected_in_all()).sum();
+        for violation in &violations {
+            println!("seed {seed}: {violation}");
+        }
+        if self.verbose || !violations.is_empty() {
+            for (at, action) in &schedule.done {
+                println!("seed {seed}: done at {} ms: {action}", at / MILLISECOND);
+            }
+            for router in &cluster.routers {
+                for (at, incident) in &router.incidents {
+                    println!("seed {seed}: router {} at {} ms: {incident:?}", router.index, at / MILLISECOND);
+                }
+            }
+        }
+        if self.verbose {
+            for router in &cluster.routers {
+                for line in router.log.lock().expect("a lock").iter() {
+                    println!("seed {seed}: router {} logged: {line}", router.index);
+                }
+            }
+        }
+        println!(
+            "seed {seed}: {} violations; {} requests, {} complete, {} rejected, {} failed; {} attempts, {} further; \
+             {} actions, {faults} system calls failed",
+            violations.len(),
+            totals.requests,
+            totals.complete,
+            totals.rejected,
+            totals.failed,
+            totals.attempts,
+            totals.further_attempts,
+            schedule.done.len()
+        );
+        violations.len()
+    }
+}
+
+fn default_program() -> PathBuf {
+    let program = std::env::current_exe().expect("the path of this program");
+    program.with_file_name("query-router")
+}
