Rules on sending, starting and closing in one place; deadlines of pipelined requests; stalled requests

Now arrival_times.rs keeps when bytes came. Cause 2: handle_incomplete_request set the timer once, to the longest deadline of any class; now 2.5 s without a byte end the request as well (408, 503 in a shutdown, as its test wants). router/rules.rs decides at the moment of acting whether an attempt may be started or sent and whether a client may be closed; what it forbids is not done, counted in invariants_violated and logged with ids. New counters: retries, hedges, stalled requests, unread answers; log lines at debug level for repeated attempts, incomplete answers, ended connections. A connection that is about to be aborted takes no further batch.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -31,6 +31,10 @@
     requests_invalid,
     /// Requests that were rejected while incomplete, since incomplete requests together took too much memory.
     requests_over_memory,
+    /// Requests that stayed incomplete and were given up.
+    client_requests_stalled,
+    /// Answers that their clients did not read in time.
+    client_answers_unread,
     /// Queries that were accepted and reported to the balancer.
     queries_accepted,
     /// Queries that were rejected because too many queries and shard requests were in flight.
@@ -47,6 +51,10 @@
     queries_failed,
     /// Attempts that the balancer requested.
     attempts_requested,
+    /// Further attempts at shard requests of which no attempt was in flight.
+    attempts_retried,
+    /// Further attempts at shard requests while one was in flight.
+    attempts_hedged,
     /// Attempts that were handed to a connection for writing.
     attempts_sent,
     /// Batches that were handed to a connection for writing.
--- a/crates/query-router/src/router/clients/idle.rs
+++ b/crates/query-router/src/router/clients/idle.rs
@@ -20,6 +20,10 @@
 /// Closes the writing side of a connection between requests. A request that crosses the close meets no reset, and its
 /// client sends it again.
 pub fn half_close(context: &mut Context, id: ConnectionId) {
+    if !context.may_close_client(id) {
+        return;
+    }
+    tracing::debug!(connection = id.0, "client connection closed for writing");
     context.connections.client_mut(id).state = ClientState::HalfClosed;
     context.effects.push(Effect::CloseWrite(id));
     context.set_connection_timer(id, Some(context.now + LINGER));
--- a/crates/query-router/src/router/clients/mod.rs
+++ b/crates/query-router/src/router/clients/mod.rs
@@ -12,12 +12,14 @@
 use crate::router::connection::client::{ClientConnection, ClientState};
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
-use balancer::{Completion, Micros, QueryArrival, QueryId};
+use balancer::{Completion, Idempotency, Micros, QueryArrival, QueryId};
 use idle::{LINGER, evict_surplus_idle, half_close};
 use replies::Replies;
 
 /// How long a new connection may stay without a request before it counts as idle, as the operators state it.
 const FIRST_REQUEST_TIMEOUT: Micros = 2_000_000;
+/// How long a client may send nothing in the middle of a request. The operators want it ended within 3 s.
+const STALLED_REQUEST_TIMEOUT: Micros = 2_500_000;
 /// The divisor of the memory limit that gives the most memory for incomplete requests of all clients.
 const UNCONSUMED_SHARE_OF_MEMORY: usize = 4;
 
@@ -41,6 +43,8 @@
     max_unconsumed: usize,
     /// The limit on unanswered queries plus their shard requests.
     max_in_flight: Option<usize>,
+    /// Whether shard requests may be repeated, by service class.
+    idempotency: Vec<Idempotency>,
     vocabulary: QueryVocabulary,
 }
 
@@ -57,6 +61,7 @@
                 .max_memory_bytes
                 .map_or(usize::MAX, |bytes| bytes / UNCONSUMED_SHARE_OF_MEMORY),
             max_in_flight: settings.limits.max_in_flight.filter(|&max| max > 0),
+            idempotency: settings.named_classes().map(|class| class.idempotency).collect(),
             vocabulary: QueryVocabulary {
                 classes: settings.named_classes().map(|class| class.name.clone()).collect(),
                 tenants: settings.named_tenants().map(|tenant| tenant.name.clone()).collect(),
@@ -101,7 +106,9 @@
         &mut self, context: &mut Context, queries: &mut QueryTable, id: ConnectionId, bytes: &[u8],
     ) -> Option<AcceptedQuery> {
         self.set_unconsumed(context, id, bytes.len());
+        let now = context.now;
         let client = context.connections.client_mut(id);
+        client.arrivals.note(now, bytes.len());
         match client.state {
             ClientState::New | ClientState::Idle | ClientState::ReceivingRequest => {}
             ClientState::ClosingIfIdle => client.state = ClientState::Idle,
@@ -162,7 +169,13 @@
         match client.state {
             ClientState::ReceivingRequest => {
                 client.close_after_answer = true;
-                self.replies.reply_line(context, id, 408, "the request took too long to come");
+                context.counters.client_requests_stalled += 1;
+                tracing::debug!(connection = id.0, "incomplete request given up");
+                let (status, reason) = match context.shutdown.has_begun() {
+                    true => (503, "ending"),
+                    false => (408, "the request took too long to come"),
+                };
+                self.replies.reply_line(context, id, status, reason);
             }
             ClientState::New | ClientState::Idle if context.shutdown.closes_idle() => {
                 half_close(context, id);
@@ -172,7 +185,12 @@
                 evict_surplus_idle(context);
             }
             ClientState::ClosingIfIdle | ClientState::AwaitingAnswer(_) => {}
-            ClientState::SendingAnswer | ClientState::HalfClosed => self.close(context, id),
+            ClientState::SendingAnswer => {
+                context.counters.client_answers_unread += 1;
+                tracing::debug!(connection = id.0, "client closed: it does not read its answer");
+                self.close(context, id);
+            }
+            ClientState::HalfClosed => self.close(context, id),
         }
     }
 
@@ -220,7 +238,9 @@
     }
 
     fn consume(&mut self, context: &mut Context, id: ConnectionId, count: usize) {
-        let left = context.connections.client_mut(id).unconsumed.saturating_sub(count);
+        let client = context.connections.client_mut(id);
+        client.arrivals.consume(count);
+        let left = client.unconsumed.saturating_sub(count);
         self.set_unconsumed(context, id, left);
         context.effects.push(Effect::Consume { connection: id, count });
     }
--- a/crates/query-router/src/router/clients/replies.rs
+++ b/crates/query-router/src/router/clients/replies.rs
@@ -21,6 +21,10 @@
         completion: Completion,
     ) {
         count_completion(context, completion);
+        if !matches!(completion, Completion::Complete) {
+            let (id, outcomes) = (queries.wire_id(query), queries.outcomes(query));
+            tracing::debug!(query = id, ?completion, ?outcomes, "query not answered in full");
+        }
         match completion {
             Completion::Complete | Completion::Partial => {
                 let body = queries.answer_body(query, completion);
--- a/crates/query-router/src/router/clients/requests.rs
+++ b/crates/query-router/src/router/clients/requests.rs
@@ -1,11 +1,11 @@
 //! Requests of clients: queries are accepted, everything else is answered at once.
 
-use super::{AcceptedQuery, Clients};
+use super::{AcceptedQuery, Clients, STALLED_REQUEST_TIMEOUT};
 use crate::io::{ConnectionId, Effect};
 use crate::protocol::http::{self, Request};
 use crate::router::connection::client::ClientState;
 use crate::router::context::Context;
-use crate::router::query_table::QueryTable;
+use crate::router::query_table::{NewQuery, QueryTable};
 use balancer::{Micros, QueryArrival};
 
 impl Clients {
@@ -15,10 +15,13 @@
     ) -> Option<AcceptedQuery> {
         match http::parse_request(bytes) {
             Ok(Some(request)) => {
-                context.connections.client_mut(id).close_after_answer = request.closes_connection;
+                let now = context.now;
+                let client = context.connections.client_mut(id);
+                client.close_after_answer = request.closes_connection;
+                let arrived_at = client.arrivals.arrival_of(request.encoded_length).unwrap_or(now);
                 self.consume(context, id, request.encoded_length);
                 context.set_connection_timer(id, None);
-                self.handle_request(context, queries, id, &request)
+                self.handle_request(context, queries, id, &request, arrived_at)
             }
             Ok(None) if self.is_over_memory() => {
                 context.counters.requests_over_memory += 1;
@@ -49,11 +52,16 @@
 
     /// Handles a request that was received in part.
     fn handle_incomplete_request(&self, context: &mut Context, id: ConnectionId, bytes: &[u8]) {
+        let now = context.now;
         let client = context.connections.client_mut(id);
         if client.without_request() && !bytes.is_empty() {
             client.state = ClientState::ReceivingRequest;
+            client.receiving_since = now;
+        }
+        if client.state == ClientState::ReceivingRequest {
+            let complete_by = client.receiving_since + self.replies.longest_deadline;
             let answer_deadline = context.shutdown.answer_deadline().unwrap_or(Micros::MAX);
-            let deadline = answer_deadline.min(context.now + self.replies.longest_deadline);
+            let deadline = answer_deadline.min(complete_by).min(now + STALLED_REQUEST_TIMEOUT);
             context.set_connection_timer(id, Some(deadline));
         }
         if http::expects_continue(bytes) {
@@ -65,6 +73,7 @@
     /// Handles a complete request: accepts a query, and answers everything else.
     fn handle_request(
         &mut self, context: &mut Context, queries: &mut QueryTable, id: ConnectionId, request: &Request,
+        arrived_at: Micros,
     ) -> Option<AcceptedQuery> {
         let path = request.path.split('?').next().unwrap_or("");
         let allowed_method = match path {
@@ -85,15 +94,17 @@
                 let lines = context.counters.lines();
                 self.replies.reply(context, id, 200, "text/plain", lines.into_bytes(), None);
             }
-            "/api" => return self.accept_query(context, queries, id, request),
+            "/api" => return self.accept_query(context, queries, id, request, arrived_at),
             _ => self.replies.reply_line(context, id, 200, "OK"),
         }
         None
     }
 
-    /// Adds a query to those in progress, or rejects it.
+    /// Adds a query to those in progress, or rejects it. Its deadline counts from when its last byte came, which may be
+    /// long ago where requests are pipelined.
     fn accept_query(
         &mut self, context: &mut Context, queries: &mut QueryTable, id: ConnectionId, request: &Request,
+        arrived_at: Micros,
     ) -> Option<AcceptedQuery> {
         let query = match self.vocabulary.parse(request) {
             Ok(_) if queries.contains(request.trace_id) => {
@@ -112,10 +123,16 @@
             self.replies.reply_line(context, id, 503, "too many retrievals are in hand");
             return None;
         }
-        let deadline = context.now + query.deadline;
+        let deadline = arrived_at + query.deadline;
         let deadline = context.shutdown.answer_deadline().map_or(deadline, |latest| latest.min(deadline));
         context.counters.queries_accepted += 1;
-        let query_id = queries.add_query(request.trace_id, id, deadline, query.text);
+        let query_id = queries.add_query(NewQuery {
+            id: request.trace_id,
+            client: id,
+            deadline,
+            idempotency: self.idempotency[query.class],
+            text: query.text,
+        });
         context.connections.client_mut(id).state = ClientState::AwaitingAnswer(query_id);
         let arrival = QueryArrival {
             query: query_id,
--- a/crates/query-router/src/router/connection/client.rs
+++ b/crates/query-router/src/router/connection/client.rs
@@ -1,5 +1,6 @@
 //! The state of a client connection.
 
+use super::arrival_times::ArrivalTimes;
 use balancer::{Micros, QueryId};
 
 /// The phase of a client connection between a request and its answer.
@@ -32,12 +33,23 @@
     pub close_after_answer: bool,
     /// How many bytes were received on it and are not consumed.
     pub unconsumed: usize,
+    /// When they came.
+    pub arrivals: ArrivalTimes,
+    /// Since when a request is incomplete.
+    pub receiving_since: Micros,
 }
 
 impl ClientConnection {
     /// A connection that was just accepted.
     pub fn new(now: Micros) -> ClientConnection {
-        ClientConnection { state: ClientState::New, idle_from: now, close_after_answer: false, unconsumed: 0 }
+        ClientConnection {
+            state: ClientState::New,
+            idle_from: now,
+            close_after_answer: false,
+            unconsumed: 0,
+            arrivals: ArrivalTimes::default(),
+            receiving_since: now,
+        }
     }
 
     /// Since when it could be evicted, if it may be.
--- a/crates/query-router/src/router/connection/mod.rs
+++ b/crates/query-router/src/router/connection/mod.rs
@@ -1,5 +1,6 @@
 //! The states of all connections, and the table that holds them.
 
+pub mod arrival_times;
 pub mod client;
 pub mod discovery;
 pub mod node;
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -258,6 +258,7 @@
         };
         if self.in_flight[index].end_offset > self.bytes_flushed {
             self.close_cause = CloseCause::Local;
+            self.reusable = false;
             return SendProgress::PartlyWritten;
         }
         self.in_flight.remove(index);
--- a/crates/query-router/src/router/context.rs
+++ b/crates/query-router/src/router/context.rs
@@ -7,6 +7,7 @@
 use crate::router::connection::client::ClientState;
 use crate::router::connection::{Connection, ConnectionKind, ConnectionTable};
 use crate::router::endpoints::Endpoints;
+use crate::router::rules::{self, Subject};
 use crate::router::shutdown::Shutdown;
 use crate::router::timers::{Timer, Timers};
 use balancer::{Micros, NodeId};
@@ -120,9 +121,20 @@
         true
     }
 
+    /// Whether this router may close a client's connection of its own accord.
+    pub fn may_close_client(&mut self, id: ConnectionId) -> bool {
+        let allowed = rules::may_close(self.connections.client_mut(id));
+        let subject = Subject { action: "close client", connection: Some(id), ..Subject::default() };
+        rules::permitted(&mut self.counters, subject, allowed)
+    }
+
     /// Closes an idle client connection. Guards against losing a request that was received and not read yet: the event
     /// loop closes the connection only if there is none.
     pub fn evict_client(&mut self, id: ConnectionId) {
+        if !self.may_close_client(id) {
+            return;
+        }
+        tracing::debug!(connection = id.0, "idle client evicted");
         self.counters.client_connections_evicted += 1;
         self.connections.client_mut(id).state = ClientState::ClosingIfIdle;
         self.effects.push(Effect::CloseIfIdle(id));
--- a/crates/query-router/src/router/dispatch.rs
+++ b/crates/query-router/src/router/dispatch.rs
@@ -44,7 +44,7 @@
         timeout: Option<Micros>,
     ) {
         context.counters.attempts_requested += 1;
-        let attempt = queries.add_attempt(context, request, node, timeout);
+        let Some(attempt) = queries.add_attempt(context, request, node, timeout) else { return };
         let max_batch_size = self.max_batch_size;
         let has_capacity = |batch: &&mut Batch| {
             batch.node == node
@@ -115,7 +115,7 @@
         &mut self, context: &mut Context, queries: &mut QueryTable, attempt: AttemptId,
         outcome: AttemptOutcome,
     ) {
-        let Some(state) = queries.attempt(attempt).filter(|state| !state.finished) else { return };
+        let Some(state) = queries.attempt(attempt).filter(|state| state.outcome.is_none()) else { return };
         let requested_at = state.requested_at;
         let Some(connection) = state.connection else {
             self.remove_waiting(attempt);
@@ -195,7 +195,7 @@
 /// Whether an attempt has not ended and is not known to be written in full.
 fn is_unwritten(context: &Context, queries: &QueryTable, attempt: AttemptId) -> bool {
     // The connection of an attempt that has ended may belong to another node by now.
-    let Some(state) = queries.attempt(attempt).filter(|state| !state.finished) else { return false };
+    let Some(state) = queries.attempt(attempt).filter(|state| state.outcome.is_none()) else { return false };
     let connection = state.connection.and_then(|id| context.connections.node(id));
     !connection.is_some_and(|connection| connection.has_written(attempt))
 }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! This module routes events to the components and their results to the balancer. A component uses neither the balancer
 //! nor any component above it. From the bottom: `timers`, `shutdown`, `endpoints` and `connection` (states alone);
-//! `context` (the state that all share); `query_table`; `node_connections`; `dispatch`, `clients` and `discovery`;
+//! `rules` (what may be done now); `context` (the state that all share); `query_table`; `node_connections`; `dispatch`, `clients` and `discovery`;
 //! `state` (the components together, as the balancer acts on them); `reports` (what is reported to the balancer).
 
 mod clients;
@@ -15,6 +15,7 @@
 mod node_connections;
 mod query_table;
 mod reports;
+mod rules;
 mod shutdown;
 mod state;
 mod timers;
@@ -256,6 +257,11 @@
     fn client_ended(&mut self, id: ConnectionId) {
         let State { context, queries, clients, dispatcher, .. } = &mut self.state;
         if let Some(query) = clients.awaited_query(context, id) {
+            tracing::debug!(
+                query = queries.wire_id(query),
+                connection = id.0,
+                "client left before its answer"
+            );
             queries.end_query(query);
             dispatcher.cancel_unwritten(context, queries, query);
             context.counters.queries_abandoned_by_client += 1;
--- a/crates/query-router/src/router/node_connections/lifecycle.rs
+++ b/crates/query-router/src/router/node_connections/lifecycle.rs
@@ -95,6 +95,17 @@
         (false, true) => (AttemptOutcome::NotSent, AttemptOutcome::NotSent),
         (false, false) => (AttemptOutcome::ConnectFailed, AttemptOutcome::ConnectFailed),
     };
+    let node = connection.node.0;
+    let (in_flight_count, queued_count) = (in_flight.len(), queued.len());
+    tracing::debug!(
+        connection = id.0,
+        node,
+        ?cause,
+        was_established,
+        in_flight = in_flight_count,
+        queued = queued_count,
+        "node connection ended"
+    );
     let mut reports = Vec::new();
     while let Some(report) = finish_health_check(context, id, check_outcome, Vec::new()) {
         reports.push(report);
--- a/crates/query-router/src/router/node_connections/write.rs
+++ b/crates/query-router/src/router/node_connections/write.rs
@@ -7,6 +7,7 @@
 use crate::router::connection::outgoing_queue::{HealthCheckKind, OutgoingFrame};
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
+use crate::router::rules::{self, Subject};
 use balancer::{AttemptId, AttemptOutcome, Micros};
 use std::rc::Rc;
 
@@ -17,6 +18,7 @@
         return;
     }
     cancel_expired(context, queries, id);
+    withhold_forbidden(context, queries, id);
     let connection = context.connections.node_mut(id);
     if connection.queue().is_empty() {
         return;
@@ -93,6 +95,27 @@
     }
 }
 
+/// Ends queued attempts that a rule forbids to send.
+fn withhold_forbidden(context: &mut Context, queries: &mut QueryTable, id: ConnectionId) {
+    let Some(connection) = context.connections.node(id) else { return };
+    let endpoint = &context.endpoints[connection.node];
+    let mut forbidden = Vec::new();
+    for attempt in connection.queue().attempts() {
+        let (request, query) = queries.request_and_query(attempt.shard_request);
+        let state = &request.attempts[attempt.number.0];
+        let allowed = rules::may_send(context.now, query, request, state, endpoint, connection);
+        let node = Some(connection.node);
+        let subject = Subject { action: "send attempt", id: &request.id, node, connection: Some(id) };
+        if !rules::permitted(&mut context.counters, subject, allowed) {
+            forbidden.push(attempt);
+        }
+    }
+    for attempt in forbidden {
+        context.connections.node_mut(id).queue_mut().remove(attempt);
+        queries.finish_attempt_later(context, attempt, AttemptOutcome::NotSent);
+    }
+}
+
 fn encode_attempts(queries: &QueryTable, attempts: &[AttemptId], now: Micros, buffers: &mut Vec<Bytes>) {
     for attempt in attempts {
         let (request, query) = queries.request_and_query(attempt.shard_request);
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -1,11 +1,12 @@
 //! The queries in progress, their shard requests and attempts, and the body of an answer.
 
-use crate::counters::debug_invariant;
 use crate::io::{Bytes, ConnectionId};
 use crate::router::context::Context;
+use crate::router::rules::{self, Subject};
 use crate::router::timers::Timer;
 use balancer::{
-    AttemptId, AttemptNumber, AttemptOutcome, Completion, Micros, NodeId, QueryId, ShardRequestId,
+    AttemptId, AttemptNumber, AttemptOutcome, Completion, Idempotency, Micros, NodeId, QueryId,
+    ShardRequestId,
 };
 use serde_json::{Value as Json, json};
 use slab::Slab;
@@ -20,6 +21,8 @@
     client: Option<ConnectionId>,
     /// The time by which the client needs the answer.
     pub deadline: Micros,
+    /// Whether its shard requests may be repeated.
+    pub idempotency: Idempotency,
     /// What is sent to each shard.
     pub text: Bytes,
     /// Its shard requests.
@@ -59,8 +62,22 @@
     pub deadline: Micros,
     /// The connection on which it is queued or was sent.
     pub connection: Option<ConnectionId>,
-    /// Whether its outcome is known.
-    pub finished: bool,
+    /// How it ended, once that is known.
+    pub outcome: Option<AttemptOutcome>,
+}
+
+/// A query to be added.
+pub struct NewQuery<'a> {
+    /// Its id on the wire.
+    pub id: &'a str,
+    /// The client that waits for the answer.
+    pub client: ConnectionId,
+    /// The time by which the client needs the answer.
+    pub deadline: Micros,
+    /// Whether its shard requests may be repeated.
+    pub idempotency: Idempotency,
+    /// What is sent to each shard.
+    pub text: String,
 }
 
 /// An attempt whose outcome is known.
@@ -107,13 +124,28 @@
         self.open
     }
 
-    /// Adds a query whose answer goes to this client.
-    pub fn add_query(&mut self, id: &str, client: ConnectionId, deadline: Micros, text: String) -> QueryId {
+    /// Adds a query.
+    pub fn add_query(&mut self, query: NewQuery) -> QueryId {
+        let NewQuery { id, client, deadline, idempotency, text } = query;
         let (id, text): (Rc<str>, Bytes) = (id.into(), text.into_bytes().into());
-        let client = Some(client);
         self.ids.insert(id.clone());
         self.open += 1;
-        QueryId(self.queries.insert(Query { id, client, deadline, text, shard_requests: Vec::new() }))
+        let (client, shard_requests) = (Some(client), Vec::new());
+        QueryId(self.queries.insert(Query { id, client, deadline, idempotency, text, shard_requests }))
+    }
+
+    /// The id of a query on the wire, empty if it is not in progress.
+    pub fn wire_id(&self, query: QueryId) -> &str {
+        self.queries.get(query.0).map_or("", |entry| &entry.id)
+    }
+
+    /// The outcomes of all attempts of a query by shard, for the log.
+    pub fn outcomes(&self, query: QueryId) -> Vec<(usize, Vec<Option<AttemptOutcome>>)> {
+        let requests = self.queries.get(query.0).into_iter().flat_map(|entry| &entry.shard_requests);
+        let requests = requests.map(|&request| self.shard_request(request));
+        let outcomes =
+            |request: &ShardRequest| request.attempts.iter().map(|attempt| attempt.outcome).collect();
+        requests.map(|request| (request.shard, outcomes(request))).collect()
     }
 
     /// Adds a shard request to a query.
@@ -127,19 +159,26 @@
         request
     }
 
-    /// Adds the next attempt at a shard request, which lasts for the timeout or until the query's deadline.
+    /// Adds the next attempt at a shard request, which lasts for the timeout or until the query's deadline. One that a
+    /// rule forbids ends at once; then there is nothing to send.
     pub fn add_attempt(
         &mut self, context: &mut Context, request: ShardRequestId, node: NodeId, timeout: Option<Micros>,
-    ) -> AttemptId {
+    ) -> Option<AttemptId> {
         let now = context.now;
         let entry = &mut self.shard_requests[request.0];
         let query = &self.queries[entry.query.0];
-        debug_invariant!(context.counters, !query.has_ended(), "no attempt after the final answer");
+        let subject = Subject { action: "start attempt", id: &entry.id, node: Some(node), connection: None };
+        let is_permitted = rules::permitted(&mut context.counters, subject, rules::may_start(query, entry));
+        count_repetition(context, entry, node);
         let deadline = timeout.map_or(query.deadline, |timeout| query.deadline.min(now + timeout));
         let attempt = AttemptId::new(request, AttemptNumber(entry.attempts.len()));
-        entry.attempts.push(Attempt { node, requested_at: now, deadline, connection: None, finished: false });
+        entry.attempts.push(Attempt { node, requested_at: now, deadline, connection: None, outcome: None });
         context.timers.insert(deadline, Timer::AttemptTimeout(attempt));
-        attempt
+        if !is_permitted {
+            self.finish_attempt_later(context, attempt, AttemptOutcome::NotSent);
+            return None;
+        }
+        Some(attempt)
     }
 
     /// A query, if it is in progress.
@@ -191,9 +230,10 @@
     ) -> Option<FinishedAttempt> {
         let entry = self.shard_requests.get_mut(attempt.shard_request.0)?;
         let state = entry.attempts.get_mut(attempt.number.0)?;
-        if std::mem::replace(&mut state.finished, true) {
+        if state.outcome.is_some() {
             return None;
         }
+        state.outcome = Some(outcome);
         context.timers.remove(state.deadline, Timer::AttemptTimeout(attempt));
         count_outcome(context, outcome);
         let latency = context.now - state.requested_at;
@@ -254,6 +294,18 @@
     }
 }
 
+/// Counts and logs an attempt that is not the first at its shard request.
+fn count_repetition(context: &mut Context, request: &ShardRequest, node: NodeId) {
+    let Some(previous) = request.attempts.last() else { return };
+    let count = match previous.outcome {
+        Some(_) => &mut context.counters.attempts_retried,
+        None => &mut context.counters.attempts_hedged,
+    };
+    *count += 1;
+    let (id, number) = (&*request.id, request.attempts.len());
+    tracing::debug!(id, number, node = node.0, previous = ?previous.outcome, "attempt repeated");
+}
+
 fn count_outcome(context: &mut Context, outcome: AttemptOutcome) {
     let counters = &mut context.counters;
     let count = match outcome {
