Failing tests: discovery that returns is asked too late to learn of a drain

A change counts as told at the latest 6 s after discovery can be reached. Found by going through the rule on changes for each path that ends a request; both are listed.

--- a/crates/query-router/src/router/tests/discovery.rs
+++ b/crates/query-router/src/router/tests/discovery.rs
@@ -1,6 +1,7 @@
 //! Watches and polls: how they are read, when they are started again, what is invalid.
 
 use super::*;
+use balancer::Micros;
 
 /// What a watch sends in the tests below: an update in two chunks that drains node `b`, and a blank line.
 fn watch_response() -> String {
@@ -376,3 +377,57 @@
     rig.decide();
     assert!(rig.written(client).starts_with("HTTP/1.1 200"));
 }
+
+/// Changes are to be known at the latest this long after discovery can be reached, less what a call may take.
+const MAX_REQUEST_GAP: Micros = 5_000_000;
+
+/// How long it takes until discovery is asked again.
+fn time_to_next_request(rig: &mut Rig<RecordingPeers>) -> Micros {
+    const STEP: Micros = 50_000;
+    let (requests, started) = (rig.router.counters().discovery_requests, rig.now);
+    while rig.router.counters().discovery_requests == requests {
+        rig.pass(STEP);
+    }
+    rig.now - started
+}
+
+/// Routers that poll or are pushed lists, with different seeds, whose requests to discovery failed some times.
+fn routers_after_failed_requests() -> impl Iterator<Item = Rig<RecordingPeers>> {
+    let configs = ["ask", "push"].into_iter().flat_map(|mode| {
+        let config = CONFIG.replace(r#""registryMode":"ask""#, &format!(r#""registryMode":"{mode}""#));
+        (0..20).map(move |seed| config.replace(r#""seed":"2a""#, &format!(r#""seed":"{seed:x}""#)))
+    });
+    configs.flat_map(|config| {
+        (0..5).map(move |failures| {
+            let mut rig = Rig::with_config(&config);
+            rig.decide();
+            for _ in 0..failures {
+                let request = rig.peers.outgoing.last().expect("a request").id;
+                rig.end(request, 0);
+                time_to_next_request(&mut rig);
+            }
+            rig
+        })
+    })
+}
+
+#[test]
+fn discovery_that_hangs_is_asked_again_soon_enough_to_learn_of_a_drain() {
+    for mut rig in routers_after_failed_requests() {
+        let request = rig.peers.outgoing.last().expect("a request").id;
+        rig.step(Event::Established(request));
+        // It was accepted just before discovery recovered, and is never answered.
+        let gap = time_to_next_request(&mut rig);
+        assert!(gap <= MAX_REQUEST_GAP, "asked again after {gap} us");
+    }
+}
+
+#[test]
+fn discovery_that_fails_is_asked_again_soon_enough_to_learn_of_a_drain() {
+    for mut rig in routers_after_failed_requests() {
+        let request = rig.peers.outgoing.last().expect("a request").id;
+        rig.end(request, 0);
+        let gap = time_to_next_request(&mut rig);
+        assert!(gap <= MAX_REQUEST_GAP, "asked again after {gap} us");
+    }
+}
