Discovery that returns is asked again within five seconds

Cause: discovery/mod.rs timed_out gave up a watch that was never answered after 4 s and left the next one to the balancer's delay (policy/discovery.rs delay_next_request: 2 to 6 s after the third failure). Now such a watch comes back after 0.6 to 0.9 s, drawn, and the delay ends at 4.5 s. Ruled out: watches that worked (restarted at once) and pushed lists (2 s). A request that stalls during a shutdown gets 503, one that is over its time 408, as both tests of that want.

--- a/crates/balancer/src/policy/discovery.rs
+++ b/crates/balancer/src/policy/discovery.rs
@@ -10,13 +10,14 @@
         }
     }
 
-    /// Requests the endpoint list again later, after each failure for longer, with jitter.
+    /// Requests the endpoint list again later, after each failure for longer, with jitter. A change counts as known 6 s
+    /// after discovery has recovered, so no delay takes much more than two thirds of that.
     pub(crate) fn delay_next_request(&mut self, now: Micros, actions: &mut dyn Actions) {
         let discovery = &mut self.discovery;
         discovery.watching = false;
         discovery.failures = (discovery.failures + 1).min(3);
         let delay = 500_000 << discovery.failures;
-        discovery.next_request_at = now + delay / 2 + self.random.i64(0..delay);
+        discovery.next_request_at = now + delay / 2 + self.random.i64(0..delay / 2 + delay / 8);
         let milliseconds = (discovery.next_request_at - now) / 1000;
         actions.log(&format!("discovery unreachable, next request in {milliseconds} ms"));
     }
--- a/crates/query-router/src/router/clients/mod.rs
+++ b/crates/query-router/src/router/clients/mod.rs
@@ -171,9 +171,11 @@
                 client.close_after_answer = true;
                 context.counters.client_requests_stalled += 1;
                 tracing::debug!(connection = id.0, "incomplete request given up");
-                let (status, reason) = match context.shutdown.has_begun() {
-                    true => (503, "ending"),
-                    false => (408, "the request took too long to come"),
+                let is_stalled = context.now >= client.stalls_at;
+                let (status, reason) = if context.shutdown.has_begun() && is_stalled {
+                    (503, "ending")
+                } else {
+                    (408, "the request took too long to come")
                 };
                 self.replies.reply_line(context, id, status, reason);
             }
--- a/crates/query-router/src/router/clients/requests.rs
+++ b/crates/query-router/src/router/clients/requests.rs
@@ -61,7 +61,8 @@
         if client.state == ClientState::ReceivingRequest {
             let complete_by = client.receiving_since + self.replies.longest_deadline;
             let answer_deadline = context.shutdown.answer_deadline().unwrap_or(Micros::MAX);
-            let deadline = answer_deadline.min(complete_by).min(now + STALLED_REQUEST_TIMEOUT);
+            client.stalls_at = now + STALLED_REQUEST_TIMEOUT;
+            let deadline = answer_deadline.min(complete_by).min(client.stalls_at);
             context.set_connection_timer(id, Some(deadline));
         }
         if http::expects_continue(bytes) {
--- a/crates/query-router/src/router/connection/client.rs
+++ b/crates/query-router/src/router/connection/client.rs
@@ -37,6 +37,8 @@
     pub arrivals: ArrivalTimes,
     /// Since when a request is incomplete.
     pub receiving_since: Micros,
+    /// When an incomplete request counts as stalled.
+    pub stalls_at: Micros,
 }
 
 impl ClientConnection {
@@ -49,6 +51,7 @@
             unconsumed: 0,
             arrivals: ArrivalTimes::default(),
             receiving_since: now,
+            stalls_at: Micros::MAX,
         }
     }
 
--- a/crates/query-router/src/router/discovery/backoff.rs
+++ b/crates/query-router/src/router/discovery/backoff.rs
@@ -5,6 +5,10 @@
 use crate::router::context::Context;
 use crate::router::timers::Timer;
 use balancer::Micros;
+use std::ops::RangeInclusive;
+
+/// The delay after a watch that was never answered, drawn so that the watches of many routers do not come together.
+const DELAY_AFTER_SILENCE: RangeInclusive<Micros> = 600_000..=900_000;
 
 /// When a watch that failed is started again, where lists are pushed.
 pub struct WatchBackoff {
@@ -36,6 +40,17 @@
     pub fn schedule(&mut self, context: &mut Context) {
         let at = context.now + self.delay / 2 + self.rng.i64(0..=self.delay / 2);
         self.delay = (2 * self.first_delay).min(HEARTBEAT_INTERVAL);
+        self.schedule_at(context, at);
+    }
+
+    /// Sets the time of the next watch after one that was never answered. Guards against a delay on top of the time that
+    /// was waited, with which a change could be learned later than the platform counts it as known.
+    pub fn schedule_after_silence(&mut self, context: &mut Context) {
+        let delay = self.rng.i64(DELAY_AFTER_SILENCE);
+        self.schedule_at(context, context.now + delay);
+    }
+
+    fn schedule_at(&mut self, context: &mut Context, at: Micros) {
         self.cancel(context);
         self.retry_at = Some(at);
         context.timers.insert(at, Timer::StartWatch);
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -212,11 +212,17 @@
     }
 
     /// Handles a request on which nothing was received for too long. A watch that worked is started again at once, and
-    /// the balancer gets a report only if that fails: the updates that a silent watch missed arrive soon after.
+    /// the balancer gets a report only if that fails: the updates that it missed arrive soon after. One that was never
+    /// answered is started again soon, whatever the balancer chooses.
     pub fn timed_out(&mut self, context: &mut Context, id: ConnectionId) -> RequestEnd {
-        if self.watch != Some(id) || !context.connections.discovery_mut(id).has_answered() {
+        if self.watch != Some(id) {
             return self.fail_request(context, id);
         }
+        if !context.connections.discovery_mut(id).has_answered() {
+            let end = self.fail_request(context, id);
+            self.backoff.schedule_after_silence(context);
+            return end;
+        }
         tracing::info!("silent endpoint watch restarted");
         context.counters.endpoint_watches_silent += 1;
         self.start_watch(context);
