Failing test: a start is given up where the operator's file cannot be read at that moment

The platform's configuration and the sockets are tried again for 20 s, the operator's file is not (cli/src/serve.rs).

--- a/crates/cli/tests/loopback/rig/faulty_router.rs
+++ b/crates/cli/tests/loopback/rig/faulty_router.rs
@@ -13,6 +13,49 @@
     /// The configuration file, which is removed once the router listens.
     pub config_file: TemporaryFile,
     _control_file: TemporaryFile,
+    _operator_file: Option<TemporaryFile>,
+}
+
+impl FaultyRouter {
+    /// Starts a router with this configuration, under what `prepare` asks for, and waits until it listens.
+    pub fn start(test_name: &str, config: &Json, prepare: impl FnOnce(&Control)) -> FaultyRouter {
+        let mut router = FaultyRouter::spawn(test_name, config, prepare, None);
+        router.process.wait_until_listening();
+        std::fs::remove_file(&router.config_file.0).expect("the file is read by now");
+        router
+    }
+
+    /// Starts a router with this configuration and this operator's file, and waits for nothing.
+    pub fn spawn_with_operator_file(
+        test_name: &str, config: &Json, operator_file: &str, prepare: impl FnOnce(&Control),
+    ) -> FaultyRouter {
+        let file = TemporaryFile(config_path(test_name).with_extension("ini"));
+        file.write(operator_file);
+        FaultyRouter::spawn(test_name, config, prepare, Some(file))
+    }
+
+    fn spawn(
+        test_name: &str, config: &Json, prepare: impl FnOnce(&Control), operator_file: Option<TemporaryFile>,
+    ) -> FaultyRouter {
+        let config_file = TemporaryFile(config_path(test_name));
+        let control_file = TemporaryFile(config_file.0.with_extension("faults"));
+        config_file.write(&config.to_string());
+        let control = Control::create(&control_file.0, 1).expect("a control file");
+        prepare(&control);
+        let program = Path::new(env!("CARGO_BIN_EXE_query-router"));
+        let mut command = fault_control::command(program, &control_file.0);
+        if let Some(file) = &operator_file {
+            command.env("YEWPIER_OPERATOR", &file.0);
+        }
+        let process = RouterProcess::spawn_command(command, &config_file.0);
+        FaultyRouter {
+            process,
+            control,
+            config_file,
+            _control_file: control_file,
+            _operator_file: operator_file,
+        }
+    }
 }
 
 /// A file that is removed in the end.
@@ -30,25 +73,3 @@
         let _ = std::fs::remove_file(&self.0);
     }
 }
-
-impl FaultyRouter {
-    /// Starts a router with this configuration, under what `prepare` asks for, and waits until it listens.
-    pub fn start(test_name: &str, config: &Json, prepare: impl FnOnce(&Control)) -> FaultyRouter {
-        let config_path = config_path(test_name);
-        let control_path = config_path.with_extension("faults");
-        std::fs::write(&config_path, config.to_string()).expect("a file");
-        let control = Control::create(&control_path, 1).expect("a control file");
-        prepare(&control);
-        let program = Path::new(env!("CARGO_BIN_EXE_query-router"));
-        let command = fault_control::command(program, &control_path);
-        let mut process = RouterProcess::spawn_command(command, &config_path);
-        process.wait_until_listening();
-        std::fs::remove_file(&config_path).expect("the file is read by now");
-        FaultyRouter {
-            process,
-            control,
-            config_file: TemporaryFile(config_path),
-            _control_file: TemporaryFile(control_path),
-        }
-    }
-}
--- a/crates/cli/tests/loopback/system_calls.rs
+++ b/crates/cli/tests/loopback/system_calls.rs
@@ -140,6 +140,17 @@
     }
 }
 
+#[test]
+fn router_starts_although_reading_the_operators_file_fails_for_a_moment() {
+    let discovery = discovery_with_node(data_node());
+    let prepare = |control: &Control| control.fail_next(Call::Open, 2, Fault::Error(libc::ENFILE));
+    let config = config(discovery.at, LONG_DEADLINE);
+    let mut router = FaultyRouter::spawn_with_operator_file("faulty-operator", &config, "", prepare);
+    router.process.wait_until_listening();
+    assert_eq!(router.control.injected(Call::Open), 2);
+    router.process.terminate();
+}
+
 #[test]
 fn configuration_is_reloaded_although_reading_it_fails_for_a_moment() {
     let (first, second) = (Discovery::start(8, vec![]), Discovery::start(3, vec![]));
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -91,7 +91,7 @@
             clients: Vec::new(),
             records: Records::default(),
             current_address: vec![0; size.routers],
-            is_pushed: seed % 2 == 0,
+            is_pushed: seed.is_multiple_of(2),
             seed,
             folder,
         };
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -3,6 +3,10 @@
 use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 
+/// The most descriptors that a router may hold.
+pub const MAX_DESCRIPTORS: usize = 128;
+/// The most memory that a router may take, in mebibytes.
+pub const MAX_MEMORY_MB: usize = 64;
 /// How many shards there are; each replica set holds all of them.
 pub const SHARDS: usize = 8;
 /// The mean time that a data node works on a shard request.
@@ -58,7 +62,7 @@
         })
         .collect();
     json!({"name": format!("r{index}"), "listen": listen, "discovery": discovery, "seed": format!("{seed:x}"),
-        "limits": {"sockets": 128, "memory_mb": 64}, "known": known,
+        "limits": {"sockets": MAX_DESCRIPTORS, "memory_mb": MAX_MEMORY_MB}, "known": known,
         "settings": {"tickNs": 5_000_000, "registryMode": if pushed { "push" } else { "ask" }, "zones": ["z"],
             "zone": 0, "instances": routers,
             "familyInfo": {"sets": 1, "shards": SHARDS, "width": 1, "bundleMax": 4},
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -190,7 +190,7 @@
 
 /// The next object of a watch: the whole list first, then what changed after `revision`.
 fn next_message(state: &State, revision: u64, is_first: bool) -> Option<String> {
-    if is_first && revision % 2 == 0 {
+    if is_first && revision.is_multiple_of(2) {
         return Some(full_list(state).to_string() + "\n");
     }
     let changed: Vec<&Json> =
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -4,11 +4,11 @@
 use crate::cluster::{Cluster, Published};
 use crate::config::{
     BUDGET_SHARE, BUDGET_WINDOW_MS, CLASSES, COLD_MULTIPLE, COLD_SHARE, COLD_WINDOW_MS, DRAIN_GRACE_MS,
-    FREE_ATTEMPTS, MEAN_WORK_MS, WARM_UP_MS,
+    FREE_ATTEMPTS, MAX_DESCRIPTORS, MAX_MEMORY_MB, MEAN_WORK_MS, WARM_UP_MS,
 };
 use crate::discovery::Mood;
 use crate::record::Record;
-use crate::router_process::Incident;
+use crate::router_process::{Incident, Usage};
 use serde_json::Value as Json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -44,8 +44,9 @@
     /// Whether it is about the query of this id, or of this shard request's id.
     pub fn names(&self, id: &str) -> bool {
         let query = id.rsplit_once('.').map_or(id, |(query, _)| query);
+        let is_id_of_query = query.contains('-');
         let mut words = self.details.split([' ', ':', '.']);
-        words.any(|word| word == query)
+        is_id_of_query && words.any(|word| word == query)
     }
 }
 
@@ -345,7 +346,7 @@
                 let told = window.iter().filter(|other| self.was_told(other, start)).count();
                 let allowed = cold_allowance(attempt.at - start.started_at);
                 let is_overload = window.len() as f64 > allowed && 3 * told > 2 * window.len();
-                is_overload.then(|| (attempt.at, window.len(), allowed))
+                is_overload.then_some((attempt.at, window.len(), allowed))
             });
             if let Some((at, count, allowed)) = overload {
                 let age = (at - start.started_at) / MILLISECOND;
@@ -423,6 +424,11 @@
                     self.add("router ended", at, format!("router {}: {incident:?}: {last:?}", router.index));
                 }
             }
+            let Usage { descriptors, kibibytes } = router.peak;
+            if descriptors > MAX_DESCRIPTORS || kibibytes > 1024 * MAX_MEMORY_MB {
+                let details = format!("router {}: {descriptors} descriptors, {kibibytes} KiB", router.index);
+                self.violations.push(Violation { rule: "limits", at: 0, details });
+            }
             for line in log.iter() {
                 let is_violation = line.starts_with("invariants_violated ") && !line.ends_with(" 0");
                 if is_violation || line.contains("panicked") || line.contains("rule violated") {
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -34,6 +34,15 @@
     Paused(u64),
 }
 
+/// What a process holds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Open file descriptors.
+    pub descriptors: usize,
+    /// Resident memory.
+    pub kibibytes: usize,
+}
+
 /// A router.
 pub struct RouterProcess {
     /// The router's index.
@@ -42,6 +51,8 @@
     pub address: SocketAddr,
     /// What its system calls are to do.
     pub control: Control,
+    /// The most descriptors and kibibytes of memory that were seen in use.
+    pub peak: Usage,
     /// What befell it, in order.
     pub incidents: Vec<(Micros, Incident)>,
     /// The lines that its processes logged.
@@ -49,6 +60,7 @@
     program: PathBuf,
     config_path: PathBuf,
     control_path: PathBuf,
+    operator_path: PathBuf,
     child: Option<Child>,
     terminated: bool,
 }
@@ -59,15 +71,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let control_path = folder.join(format!("router-{index}.faults"));
+        let operator_path = folder.join("operator.ini");
+        std::fs::write(&operator_path, "[log]\nlevel = debug\n").expect("a file");
         RouterProcess {
             index,
             address,
             control: Control::create(&control_path, seed + index as u64).expect("a control file"),
+            peak: Usage::default(),
             incidents: Vec::new(),
             log: Arc::default(),
             program: program.to_path_buf(),
             config_path: folder.join(format!("router-{index}.json")),
             control_path,
+            operator_path,
             child: None,
             terminated: false,
         }
@@ -90,6 +106,8 @@
         let mut child = fault_control::command(&self.program, &self.control_path)
             .args(["serve", "--config"])
             .arg(&self.config_path)
+            .arg("--operator")
+            .arg(&self.operator_path)
             .stderr(Stdio::piped())
             .spawn()
             .expect("a process");
@@ -132,6 +150,17 @@
         }
     }
 
+    /// Notes what the process holds.
+    pub fn sample_usage(&mut self) {
+        let Some(id) = self.child.as_ref().map(Child::id) else { return };
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.split_whitespace().next());
+        let kibibytes = resident.and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.peak.descriptors = self.peak.descriptors.max(descriptors);
+        self.peak.kibibytes = self.peak.kibibytes.max(kibibytes);
+    }
+
     /// Stops the process for a while.
     pub fn pause(&mut self, milliseconds: u64) {
         self.note(Incident::Paused(milliseconds));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 use crate::clock::{MILLISECOND, SECOND, now, sleep_ms};
 use crate::cluster::{Cluster, Size};
 use crate::judge::judge;
+use crate::router_process::RouterProcess;
 use crate::troubles::Schedule;
 use argh::FromArgs;
 use std::path::{Path, PathBuf};
@@ -27,6 +28,9 @@
     /// how many client processes each router has; default 2
     #[argh(option, default = "2")]
     clients: usize,
+    /// the mean time from one trouble to the next in milliseconds; default 700
+    #[argh(option, default = "700")]
+    interval_ms: i64,
     /// the router's program; default: query-router beside this program
     #[argh(option)]
     program: Option<PathBuf>,
@@ -35,8 +39,8 @@
     verbose: bool,
 }
 
-/// The mean time from one trouble to the next.
-const TROUBLE_INTERVAL_MS: i64 = 700;
+/// The time between two looks at what the routers hold.
+const SAMPLE_INTERVAL_MS: i64 = 250;
 /// How long everything may settle in the end.
 const SETTLE_TIME_MS: u64 = 500;
 
@@ -64,13 +68,18 @@
         let mut schedule = Schedule::new(seed);
         let started = now();
         let mut next_trouble_at = started + SECOND;
+        let mut next_sample_at = started;
         let end = started + self.seconds as i64 * SECOND;
         while now() < end || !schedule.is_empty() {
             if now() >= next_trouble_at && now() < end {
                 schedule.add_trouble(&cluster);
-                next_trouble_at = now() + schedule.draw(2 * TROUBLE_INTERVAL_MS) * MILLISECOND;
+                next_trouble_at = now() + schedule.draw(2 * self.interval_ms.max(1)) * MILLISECOND;
             }
             schedule.run_due(&mut cluster);
+            if now() >= next_sample_at {
+                cluster.routers.iter_mut().for_each(RouterProcess::sample_usage);
+                next_sample_at = now() + SAMPLE_INTERVAL_MS * MILLISECOND;
+            }
             sleep_ms(5);
         }
         sleep_ms(SETTLE_TIME_MS);
@@ -90,6 +99,14 @@
                 println!("seed {seed}: trace of a violation: {record:?}");
             }
         }
+        for router in &cluster.routers {
+            for line in router.log.lock().expect("a lock").iter() {
+                let is_about = |word: &str| violations.iter().any(|violation| violation.names(word));
+                if line.split(['"', ' ', '=']).any(is_about) {
+                    println!("seed {seed}: router {} logged of a violation: {line}", router.index);
+                }
+            }
+        }
         if self.verbose || !violations.is_empty() {
             for (at, action) in &schedule.done {
                 println!("seed {seed}: done at {} ms: {action}", at / MILLISECOND);
