A start tries again to read the operator's file

Cause: cli/src/serve.rs read it once; the same mistake as with the sockets and the configuration, which were mended before. retry_at_start now covers it too.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -27,6 +27,14 @@
 }
 
 impl CliError {
+    /// What the system reported, if the operator's file could not be read.
+    pub fn operator_file_io_error(&self) -> Option<&std::io::Error> {
+        match self {
+            CliError::OperatorFile(error) => error.io_error(),
+            _ => None,
+        }
+    }
+
     /// Wraps an error of the control plane.
     pub fn control_plane(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> CliError {
         CliError::ControlPlane(error.into())
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -19,7 +19,9 @@
     /// Serves until a signal asks for the shutdown.
     pub fn run(self) -> Result<(), CliError> {
         let signals = query_router::install_signal_handlers()?;
-        log_to_stderr(&mut read_operator_file(self.operator)?)?;
+        let read_file = || read_operator_file(self.operator.clone());
+        let mut operator_file = query_router::retry_at_start(read_file, CliError::operator_file_io_error)?;
+        log_to_stderr(&mut operator_file)?;
         let path = configuration_path(self.config)?;
         let config = query_router::read_config(&path)?;
         query_router::serve(signals, config, path)?;
--- a/crates/operator-config/src/error.rs
+++ b/crates/operator-config/src/error.rs
@@ -22,6 +22,16 @@
     }
 }
 
+impl ConfigError {
+    /// What the system reported, if the file could not be read.
+    pub fn io_error(&self) -> Option<&std::io::Error> {
+        match self {
+            ConfigError::Unreadable { cause, .. } => Some(cause),
+            _ => None,
+        }
+    }
+}
+
 /// Why the operator's file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -19,6 +19,7 @@
 
 pub use error::ServeError;
 pub use signals::{SignalSource, install_signal_handlers};
+pub use system_error::retry_at_start;
 
 use crate::config::{Config, ConfigFileError};
 use crate::protocol::http::MAX_BODY_BYTES;
@@ -29,7 +30,6 @@
 use retries::Retries;
 use server::{ExitState, Server, print_to_stderr};
 use std::collections::VecDeque;
-use system_error::retry_at_start;
 
 /// Reads the configuration for the start. Where this machine lacks something to read it, that is tried again for a while.
 ///
--- a/crates/query-router/src/event_loop/system_error.rs
+++ b/crates/query-router/src/event_loop/system_error.rs
@@ -52,8 +52,13 @@
     kind_of(error) != ErrorKind::Failed
 }
 
-/// Repeats a call that is needed for the start for as long as it fails for want of something on this machine.
-pub(super) fn retry_at_start<T, E: std::fmt::Display>(
+/// Repeats a call that is needed for the start for as long as it fails for want of something on this machine, 20 s at
+/// most. `cause` is the system's error behind an error.
+///
+/// # Errors
+///
+/// The last error of the call.
+pub fn retry_at_start<T, E: std::fmt::Display>(
     mut call: impl FnMut() -> Result<T, E>, cause: impl Fn(&E) -> Option<&io::Error>,
 ) -> Result<T, E> {
     let started = Instant::now();
