Failing test: a clock that was ahead from the start, where discovery states its time

A process that starts with its wall clock ahead takes nodes of its first list that started just now for old ones and does not warm them up (seen from outside: no slow start at all). The Date field of discovery's responses would tell, and is not read.

--- a/crates/query-router/src/router/tests/endpoints.rs
+++ b/crates/query-router/src/router/tests/endpoints.rs
@@ -154,3 +154,24 @@
     list_node(&mut rig, "new", started_at);
     assert!(!is_warming_up(&rig, 2));
 }
+
+#[test]
+fn clock_that_was_ahead_from_the_start_shows_in_the_time_that_discovery_states() {
+    let mut rig = rig_with_slow_start();
+    let watch = rig.peers.outgoing[0].id;
+    rig.step(Event::Established(watch));
+    // `START` is 2023-11-14T22:13:20Z; discovery says that it is an hour earlier, and that the node started then.
+    let entry = serde_json::json!({"id": "a", "host_port": "127.0.0.1:71", "locality": "z", "cell": 0,
+        "phase": "ready", "size": 1.0, "up_since_ms": (rig.now - HOUR) / 1000});
+    rig.apply_list(&serde_json::json!({"revision": 41, "members": [entry]}), EndpointUpdate::Cached);
+    assert!(!is_warming_up(&rig, 0), "nothing shows yet that the clock is ahead");
+    let list = serde_json::json!({"revision": 42, "complete": true, "members": [entry]}).to_string() + "\n";
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nDate: Tue, 14 Nov 2023 21:13:20 GMT\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n",
+        list.len()
+    );
+    rig.receive(watch, response.as_bytes());
+    assert!(is_warming_up(&rig, 0));
+    rig.pass(2 * WARM_UP);
+    assert!(!is_warming_up(&rig, 0));
+}
