Starts are corrected by the time that discovery states

Cause: as in the failing test before; the first list's starts were believed by a wall clock that is ahead. The head of discovery's responses now yields its Date field (httpdate, a registry library), start_times.rs compares the clocks beyond 3 s and corrects what was converted without it.

--- a/crates/query-router/src/protocol/http/response.rs
+++ b/crates/query-router/src/protocol/http/response.rs
@@ -3,7 +3,9 @@
 use super::error::HttpError;
 use super::framing::BodyFraming;
 use super::limits::{MAX_HEAD_BYTES, MAX_HEADERS};
+use balancer::Micros;
 use httparse::Status;
+use std::time::UNIX_EPOCH;
 
 /// The head of a response that was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,6 +16,8 @@
     pub length: usize,
     /// How the end of the body is known.
     pub framing: BodyFraming,
+    /// When the response was made by the server's clock, in Unix microseconds, if it says so.
+    pub date: Option<Micros>,
 }
 
 /// The head of a response at the start of `bytes`, or `None` until it is complete.
@@ -29,12 +33,20 @@
             status: head.code.unwrap_or(0),
             length,
             framing: BodyFraming::from_headers(head.headers, BodyFraming::UntilClose)?,
+            date: date_in(head.headers),
         })),
         Ok(Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => Ok(None),
         _ => Err(HttpError::MalformedHead),
     }
 }
 
+/// The value of the field `Date`, if it can be read.
+fn date_in(headers: &[httparse::Header]) -> Option<Micros> {
+    let field = headers.iter().find(|header| header.name.eq_ignore_ascii_case("date"))?;
+    let date = httpdate::parse_http_date(std::str::from_utf8(field.value).ok()?).ok()?;
+    Some(date.duration_since(UNIX_EPOCH).ok()?.as_micros() as Micros)
+}
+
 /// The head of a response of the router.
 #[derive(Clone, Copy, Debug)]
 pub struct OutgoingHead<'a> {
--- a/crates/query-router/src/protocol/http/tests.rs
+++ b/crates/query-router/src/protocol/http/tests.rs
@@ -61,7 +61,9 @@
 #[test]
 fn response_head_states_how_its_body_ends() {
     let parse = |fields: &str| parse_response_head(format!("HTTP/1.1 200 OK\r\n{fields}\r\n").as_bytes());
-    let head = |length: usize, framing: BodyFraming| Ok(Some(ResponseHead { status: 200, length, framing }));
+    let head = |length: usize, framing: BodyFraming| {
+        Ok(Some(ResponseHead { status: 200, length, framing, date: None }))
+    };
     assert_eq!(parse("Content-Length: 7\r\n"), head(38, BodyFraming::Length(7)));
     assert_eq!(parse("Transfer-Encoding: chunked\r\n"), head(47, BodyFraming::Chunked));
     assert_eq!(parse(""), head(19, BodyFraming::UntilClose));
@@ -99,3 +101,13 @@
         assert_eq!((error.status(), error.to_string().as_str()), (status, text));
     }
 }
+
+#[test]
+fn the_date_of_a_response_is_read_if_it_can_be() {
+    let date = |field: &str| {
+        let head = format!("HTTP/1.1 200 OK\r\n{field}\r\nContent-Length: 0\r\n\r\n");
+        parse_response_head(head.as_bytes()).expect("a head").expect("a complete head").date
+    };
+    assert_eq!(date("date: Tue, 14 Nov 2023 22:13:20 GMT"), Some(1_700_000_000_000_000));
+    assert_eq!([date("Date: yesterday"), date("X-Date: Tue, 14 Nov 2023 22:13:20 GMT")], [None, None]);
+}
--- a/crates/query-router/src/router/connection/discovery.rs
+++ b/crates/query-router/src/router/connection/discovery.rs
@@ -105,6 +105,8 @@
 pub struct DiscoveryRequest {
     /// The kind of the request.
     pub kind: RequestKind,
+    /// The time that the head states, until it is taken.
+    date: Option<Micros>,
     /// How the body is framed, once the head is in.
     framing: Option<BodyFraming>,
     chunks: ChunkedDecoder,
@@ -130,6 +132,7 @@
     pub fn new(kind: RequestKind, now: Micros) -> DiscoveryRequest {
         DiscoveryRequest {
             kind,
+            date: None,
             framing: None,
             chunks: ChunkedDecoder::new(MAX_ENDPOINT_LIST_BYTES),
             body_read: 0,
@@ -155,6 +158,7 @@
                 return Ok(ResponseRead { consumed: bytes.len(), progress: BodyProgress::Complete });
             }
             consumed = head.length;
+            self.date = head.date;
             self.framing = Some(head.framing);
         }
         let body = self.read_body(&bytes[consumed..])?;
@@ -164,6 +168,11 @@
         Ok(ResponseRead { consumed: consumed + body.consumed, progress: body.progress })
     }
 
+    /// Takes the time that discovery stated in the head of the response.
+    pub fn take_date(&mut self) -> Option<Micros> {
+        self.date.take()
+    }
+
     fn read_body(&mut self, bytes: &[u8]) -> Result<ResponseRead, DiscoveryError> {
         match self.framing {
             Some(BodyFraming::Chunked) => {
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -141,7 +141,12 @@
     pub fn read(
         &self, context: &mut Context, id: ConnectionId, bytes: &[u8],
     ) -> Result<ResponseRead, DiscoveryError> {
-        context.connections.discovery_mut(id).read(bytes)
+        let request = context.connections.discovery_mut(id);
+        let read = request.read(bytes);
+        if let Some(date) = request.take_date() {
+            context.endpoints.time_stated(context.now, date);
+        }
+        read
     }
 
     /// The next update that a watch has sent in full. The first message proves that discovery works, so even a blank
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -62,6 +62,11 @@
         NodeId(index)
     }
 
+    /// Notes the time that discovery states.
+    pub fn time_stated(&mut self, now: Micros, stated: Micros) {
+        self.start_times.time_stated(now, stated);
+    }
+
     /// Ends an update that discovery has sent.
     pub fn finish_received_update(&mut self, now: Micros) {
         self.start_times.list_received(now);
--- a/crates/settings-schema/src/start_times.rs
+++ b/crates/settings-schema/src/start_times.rs
@@ -10,6 +10,12 @@
 /// How long after a change discovery may tell it at the latest, as the operators state it.
 const MAX_NOTICE_DELAY: Micros = 6_000_000;
 
+/// How far a time that discovery states may differ from this process's clock without showing that they differ: its
+/// resolution of a second, and the way of the response.
+const CLOCK_TOLERANCE: Micros = 3_000_000;
+/// Half of the resolution of a time that discovery states.
+const HALF_RESOLUTION: Micros = 500_000;
+
 /// The start of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeStart {
@@ -17,6 +23,8 @@
     reported: Micros,
     /// By the clock of this process, 0 for long ago.
     started_at: Micros,
+    /// Whether the clocks had been compared when it was converted.
+    is_verified: bool,
 }
 
 impl NodeStart {
@@ -33,9 +41,17 @@
     last_list_at: Option<Micros>,
     /// The least age of any node when it was named, by both clocks: how far the clock of this process may be ahead.
     least_age: Option<Micros>,
+    /// How far the clock of this process is ahead of discovery's, once discovery has stated its time.
+    clock_ahead: Option<Micros>,
 }
 
 impl StartTimes {
+    /// Notes the time that discovery states, in whole seconds.
+    pub fn time_stated(&mut self, now: Micros, stated: Micros) {
+        let ahead = now - stated - HALF_RESOLUTION;
+        self.clock_ahead = Some(if ahead.abs() > CLOCK_TOLERANCE { ahead } else { 0 });
+    }
+
     /// Notes that discovery has sent a list, all entries of which were converted.
     pub fn list_received(&mut self, now: Micros) {
         self.last_list_at = Some(now);
@@ -43,14 +59,19 @@
 
     /// The start of a node that discovery names with this start; `previous` is what was known of it.
     pub fn convert(&mut self, now: Micros, reported: Micros, previous: Option<NodeStart>) -> NodeStart {
-        if let Some(previous) = previous.filter(|previous| previous.reported == reported) {
-            return previous;
-        }
-        let started_at = match reported {
-            0 => previous.map_or(0, |previous| previous.started_at),
-            _ => self.started_at(now, now - reported, previous),
+        let age = now - self.clock_ahead.unwrap_or(0) - reported;
+        let is_verified = self.clock_ahead.is_some();
+        let started_at = match previous {
+            Some(previous) if previous.reported == reported => {
+                if previous.is_verified || !is_verified || reported == 0 || self.clock_ahead == Some(0) {
+                    return previous;
+                }
+                now - age.max(0)
+            }
+            _ if reported == 0 => previous.map_or(0, |previous| previous.started_at),
+            _ => self.started_at(now, age, previous),
         };
-        NodeStart { reported, started_at }
+        NodeStart { reported, started_at, is_verified }
     }
 
     fn started_at(&mut self, now: Micros, age: Micros, previous: Option<NodeStart>) -> Micros {
@@ -61,8 +82,13 @@
             return now - age;
         }
         // The clocks differ, or a node is named long after its start. A process that replaced another one is new; any
-        // other is older than the youngest, which may have started just now.
+        // other is as old as stated if the clocks were compared, or else older than the youngest, which may have started
+        // just now.
         let is_restart = previous.is_some_and(|previous| previous.reported != 0 || previous.started_at == 0);
-        if is_restart || age < 0 { now } else { now - (age - least_age) }
+        match self.clock_ahead {
+            _ if is_restart || age < 0 => now,
+            Some(_) => now - age,
+            None => now - (age - least_age),
+        }
     }
 }
--- a/crates/settings-schema/src/start_times/tests.rs
+++ b/crates/settings-schema/src/start_times/tests.rs
@@ -59,3 +59,29 @@
     assert_eq!(starts.convert(now, now - HOUR, None).started_at(), now);
     assert_eq!(starts.convert(now, now - HOUR - 4 * SECOND, None).started_at(), now - 4 * SECOND);
 }
+
+#[test]
+fn stated_time_corrects_what_was_converted_without_it() {
+    let mut starts = StartTimes::default();
+    let reported = NOW - HOUR;
+    let start = starts.convert(NOW, reported, None);
+    // Discovery's clock is an hour behind this one, so the node has started just now.
+    starts.time_stated(NOW, NOW - HOUR);
+    let corrected = starts.convert(NOW, reported, Some(start));
+    assert!((NOW - SECOND..=NOW).contains(&corrected.started_at()), "{corrected:?}");
+    assert_eq!(starts.convert(NOW + HOUR, reported, Some(corrected)), corrected);
+    // A node that is named late is as old as it is said to be.
+    starts.list_received(NOW);
+    let old = starts.convert(NOW, NOW - 3 * HOUR, None).started_at();
+    assert!((old - (NOW - 2 * HOUR)).abs() < SECOND);
+}
+
+#[test]
+fn stated_time_that_agrees_changes_nothing() {
+    let mut starts = StartTimes::default();
+    let start = starts.convert(NOW, NOW - HOUR, None);
+    starts.time_stated(NOW, NOW - SECOND);
+    assert_eq!(starts.convert(NOW, NOW - HOUR, Some(start)), start);
+    starts.list_received(NOW);
+    assert_eq!(starts.convert(NOW, NOW - 2 * HOUR, None).started_at(), NOW - 2 * HOUR);
+}
