Failing test: a first request that crosses the close of its connection in a shutdown

0.45 s after SIGTERM every connection without a request is closed for writing, one that a client opened 50 ms ago too (clients/idle.rs close_idle). Its first request is then read and discarded, which is a lost request on a new connection. The soak does not come to it, its front closes after 0.3 s.

--- a/crates/balancer/src/policy/tests/selection.rs
+++ b/crates/balancer/src/policy/tests/selection.rs
@@ -65,8 +65,8 @@
     assert_eq!(balancer.capacity(NodeId(0), 0, 0), 4);
 }
 
-#[test]
-fn a_warming_node_gets_no_more_than_this_routers_share() {
+/// One of three routers, of which a node that starts now may be sent 400 ms of work in 3 s.
+fn one_of_three_routers_with_a_warming_node() -> Balancer {
     let mut balancer = balancer_with(Idempotency::Idempotent, |settings| {
         settings.rules.warm_up = 10_000_000;
         settings.rules.cold_overload_window = 3_000_000;
@@ -74,6 +74,12 @@
     });
     (balancer.site.cold_overload.multiple, balancer.site.routers) = (2.0, 3.0);
     update_endpoints(&mut balancer, EndpointUpdate::Incremental, &[(0, EndpointState::Ready, NOW)]);
+    balancer
+}
+
+#[test]
+fn a_warming_node_gets_no_more_than_this_routers_share() {
+    let mut balancer = one_of_three_routers_with_a_warming_node();
     // 2 x 0.2 x 3 s / 3 is 400 ms of work; a shard request counts as 100 ms until latencies are known.
     assert!(
         balancer.has_cold_capacity(NOW, NodeId(0), 4, 0) && !balancer.has_cold_capacity(NOW, NodeId(0), 5, 0)
@@ -107,13 +113,7 @@
 
 #[test]
 fn among_few_routers_a_warming_node_gets_the_allowance_of_a_window_and_no_more() {
-    let mut balancer = balancer_with(Idempotency::Idempotent, |settings| {
-        settings.rules.warm_up = 10_000_000;
-        settings.rules.cold_overload_window = 3_000_000;
-        settings.rules.cold_capacity_share = 0.2;
-    });
-    (balancer.site.cold_overload.multiple, balancer.site.routers) = (2.0, 3.0);
-    update_endpoints(&mut balancer, EndpointUpdate::Incremental, &[(0, EndpointState::Ready, NOW)]);
+    let mut balancer = one_of_three_routers_with_a_warming_node();
     balancer.statistics.mean_work_rate = 0.1;
     balancer.nodes[NodeId(0)].work_sent.push(NOW, 400_000.0);
     // What was sent leaves the window after 3 s.
--- a/crates/query-router/src/router/clients/requests.rs
+++ b/crates/query-router/src/router/clients/requests.rs
@@ -25,7 +25,7 @@
             }
             Ok(None) if self.is_over_memory() => {
                 context.counters.requests_over_memory += 1;
-                let reason = "too much has come of requests that are not whole";
+                let reason = "incomplete requests take too much memory";
                 self.reject_unread(context, id, bytes.len(), 503, reason);
                 None
             }
@@ -109,7 +109,7 @@
     ) -> Option<AcceptedQuery> {
         let query = match self.vocabulary.parse(request) {
             Ok(_) if queries.contains(request.trace_id) => {
-                let reason = "a retrieval with this X-Trace-Id is in hand";
+                let reason = "a query with this X-Trace-Id is in progress";
                 self.reject_invalid(context, id, reason);
                 return None;
             }
@@ -121,7 +121,7 @@
         };
         if self.max_in_flight.is_some_and(|max| queries.open_count() >= max) {
             context.counters.queries_over_limit += 1;
-            self.replies.reply_line(context, id, 503, "too many retrievals are in hand");
+            self.replies.reply_line(context, id, 503, "too many queries are in progress");
             return None;
         }
         let deadline = arrived_at + query.deadline;
--- a/crates/query-router/src/router/tests/shutdown.rs
+++ b/crates/query-router/src/router/tests/shutdown.rs
@@ -72,3 +72,19 @@
     assert!(rig.written(client).ends_with("Connection: close\r\n\r\nOK\n"), "{}", rig.written(client));
     assert_eq!(rig.peers.half_closed, [client]);
 }
+
+#[test]
+fn first_request_of_a_client_that_connected_during_shutdown_is_answered() {
+    let mut rig = Rig::new();
+    rig.step(Event::Terminate);
+    rig.pass(400_000);
+    let client = rig.client();
+    // Idle connections are closed before its request comes; it has none that could cross the close unanswered.
+    rig.pass(IDLE_CLOSE_DELAY - 400_000 + 20_000);
+    rig.receive(client, b"GET /-/healthy HTTP/1.1\r\n\r\n");
+    rig.pass(1);
+    assert!(rig.written(client).starts_with("HTTP/1.1 200"), "{}", rig.written(client));
+    rig.end(client, 0);
+    rig.pass(1_000_000);
+    assert!(rig.exit);
+}
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -1,15 +1,13 @@
 //! The invariants. Each violation names the rule, the ids and the times.
 
+mod answers;
+mod nodes;
+
 use crate::clock::{MILLISECOND, Micros, SECOND};
-use crate::cluster::{Cluster, Published};
-use crate::config::{
-    BUDGET_SHARE, BUDGET_WINDOW_MS, CLASSES, COLD_MULTIPLE, COLD_SHARE, COLD_WINDOW_MS, DRAIN_GRACE_MS,
-    FREE_ATTEMPTS, MAX_DESCRIPTORS, MAX_MEMORY_MB, MEAN_WORK_MS, WARM_UP_MS,
-};
-use crate::discovery::Mood;
+use crate::cluster::Cluster;
+use crate::config::{BUDGET_SHARE, BUDGET_WINDOW_MS, CLASSES, FREE_ATTEMPTS, MAX_DESCRIPTORS, MAX_MEMORY_MB};
 use crate::record::Record;
 use crate::router_process::{Incident, Usage};
-use serde_json::Value as Json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -18,16 +16,12 @@
 const MEASURING_SLACK: Micros = 150 * MILLISECOND;
 /// How long a router may be held up between reading its clock and writing.
 const HOLD_UP: Micros = 150 * MILLISECOND;
-/// How much longer an answer may take before its request counts as lost.
-const LATE_ANSWER: Micros = 500 * MILLISECOND;
 /// How long after its client left a request may still be sent to nodes.
 const AFTER_LEAVING: Micros = 100 * MILLISECOND;
 /// How long a client that stopped in the middle of a request waits for its end.
 const BAD_CLIENT_LIMIT: Micros = 3 * SECOND;
 /// How long after a node or the way to it was held up what was sent before still reaches it.
 const AFTER_HOLD: Micros = 1200 * MILLISECOND;
-/// When a change counts as told at the latest once discovery can be reached.
-const TOLD_AFTER: Micros = 6 * SECOND;
 
 /// A broken rule.
 #[derive(Debug)]
@@ -172,54 +166,6 @@
         kills.any(|(at, _)| (from - SECOND..until + SECOND).contains(at))
     }
 
-    /// Each request gets its final answer in time.
-    fn check_lost(&mut self, records: &[Record]) {
-        for record in records {
-            let Record::Lost { at, id, is_new_connection, is_timeout } = record else { continue };
-            let Some(request) = self.requests.get(id.as_str()) else { continue };
-            if !self.was_killed(request.router, request.at, *at) {
-                let details = format!(
-                    "{id} ({}) of router {}: {} after {} ms on a {} connection",
-                    request.class,
-                    request.router,
-                    if *is_timeout { "no answer" } else { "closed" },
-                    (at - request.at) / MILLISECOND,
-                    if *is_new_connection { "new" } else { "used" }
-                );
-                self.add("lost", *at, details);
-            }
-        }
-        let mut late = Vec::new();
-        for (id, request) in &self.requests {
-            let Some((at, status, _)) = request.answer else { continue };
-            let limit = LATE_ANSWER + MEASURING_SLACK;
-            // Answers come in the order of the requests.
-            let earlier = request.behind.and_then(|earlier| self.requests.get(earlier)?.answer);
-            let due_at = request.at + request.expires_ms * MILLISECOND;
-            let due_at = due_at.max(earlier.map_or(0, |(answered_at, _, _)| answered_at));
-            if at > due_at + limit {
-                late.push((at, format!("{id}: {status} after {} ms", (at - request.at) / MILLISECOND)));
-            }
-        }
-        for (at, details) in late {
-            self.add("late answer", at, details);
-        }
-    }
-
-    /// Answers say what nodes answered.
-    fn check_answers(&mut self) {
-        let mut false_answers = Vec::new();
-        for (id, request) in &self.requests {
-            let Some((at, 200, body)) = request.answer else { continue };
-            if let Err(reason) = check_body(id, request.shards, body) {
-                false_answers.push((at, format!("{id}: {reason}: {body}")));
-            }
-        }
-        for (at, details) in false_answers {
-            self.add("false answer", at, details);
-        }
-    }
-
     /// What may not be repeated is executed once, and not at all where the answer says so.
     fn check_effects(&mut self) {
         let mut executed: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
@@ -279,93 +225,6 @@
         }
     }
 
-    /// When a router was told a change, or counts as told.
-    fn told_at(&self, router: usize, change: &Published) -> Option<Micros> {
-        let told = self.cluster.discovery.told_at(router, change.revision);
-        let reachable = self.reachable_for_long(change.at).map(|from| from + TOLD_AFTER);
-        told.into_iter().chain(reachable).min()
-    }
-
-    /// The first time from `since` on from which discovery could be reached for as long as it may take to tell a change.
-    fn reachable_for_long(&self, since: Micros) -> Option<Micros> {
-        let moods = &self.cluster.moods;
-        let ends = moods.iter().skip(1).map(|(at, _)| *at).chain([Micros::MAX]);
-        let mut periods = moods.iter().zip(ends).filter(|((_, mood), _)| *mood == Mood::Well);
-        periods.find_map(|(&(from, _), until)| {
-            let from = from.max(since);
-            (until >= from.saturating_add(TOLD_AFTER)).then_some(from)
-        })
-    }
-
-    /// Nodes that drain or are gone get nothing new.
-    fn check_drains(&mut self) {
-        let grace = DRAIN_GRACE_MS * MILLISECOND + PROTOCOL_SLACK + HOLD_UP + MEASURING_SLACK;
-        let mut broken = Vec::new();
-        for (index, change) in
-            self.cluster.published.iter().enumerate().filter(|(_, change)| !change.is_ready)
-        {
-            let later = self.cluster.published[index + 1..].iter();
-            let ready_again = later.filter(|later| later.node == change.node).find(|later| later.is_ready);
-            let until = ready_again.map_or(Micros::MAX, |ready| ready.at);
-            let told: Vec<Option<Micros>> =
-                (0..self.cluster.routers.len()).map(|router| self.told_at(router, change)).collect();
-            let at_node = self.attempts.iter().filter(|attempt| attempt.node == change.node);
-            for attempt in at_node.filter(|attempt| !self.may_be_held(attempt)) {
-                let Some(request) = self.requests.get(attempt.query) else { continue };
-                let Some(told_at) = told[request.router] else { continue };
-                if attempt.at > told_at + grace && attempt.at < until {
-                    let after = (attempt.at - told_at) / MILLISECOND;
-                    let details = format!(
-                        "{} of router {} at node {}: {after} ms after revision {} was told",
-                        attempt.id, request.router, attempt.node, change.revision
-                    );
-                    broken.push((attempt.at, details));
-                }
-            }
-        }
-        for (at, details) in broken {
-            self.add("drain", at, details);
-        }
-    }
-
-    /// Nodes that started recently get no more than they bear.
-    fn check_cold_nodes(&mut self) {
-        let mut broken = Vec::new();
-        for start in self.cluster.published.iter().filter(|change| change.is_ready && change.started_at > 0) {
-            let until = start.started_at + WARM_UP_MS * MILLISECOND;
-            let is_meant = |attempt: &&Attempt| {
-                attempt.node == start.node
-                    && (start.started_at..until).contains(&attempt.at)
-                    && !self.may_be_held(attempt)
-            };
-            let attempts: Vec<&Attempt> = self.attempts.iter().filter(is_meant).collect();
-            let overload = attempts.iter().enumerate().find_map(|(last, attempt)| {
-                let from = attempt.at - COLD_WINDOW_MS * MILLISECOND;
-                let window: Vec<&&Attempt> =
-                    attempts[..=last].iter().filter(|other| other.at > from).collect();
-                let told = window.iter().filter(|other| self.was_told(other, start)).count();
-                let allowed = cold_allowance(attempt.at - start.started_at);
-                let is_overload = window.len() as f64 > allowed && 3 * told > 2 * window.len();
-                is_overload.then_some((attempt.at, window.len(), allowed))
-            });
-            if let Some((at, count, allowed)) = overload {
-                let age = (at - start.started_at) / MILLISECOND;
-                let details =
-                    format!("node {}: {count} where {allowed:.0} are allowed, {age} ms old", start.node);
-                broken.push((at, details));
-            }
-        }
-        for (at, details) in broken {
-            self.add("cold overload", at, details);
-        }
-    }
-
-    fn was_told(&self, attempt: &Attempt, start: &Published) -> bool {
-        let Some(request) = self.requests.get(attempt.query) else { return false };
-        let told = self.cluster.discovery.told_at(request.router, start.revision);
-        told.is_some_and(|told| told <= attempt.at)
-    }
-
     /// Further attempts keep to the budget, counted for each router over the whole run.
     fn check_budget(&mut self) {
         let mut first: BTreeSet<&str> = BTreeSet::new();
@@ -454,32 +313,3 @@
         totals
     }
 }
-
-/// Says what is wrong with the body of an answer.
-fn check_body(id: &str, shards: &[usize], body: &str) -> Result<(), &'static str> {
-    let body: Json = serde_json::from_str(body).map_err(|_| "not JSON")?;
-    let matches = body["matches"].as_array().ok_or("no matches")?;
-    let mut seen = BTreeSet::new();
-    for value in matches {
-        let shard = value["segment"].as_u64().ok_or("no segment")? as usize;
-        if !shards.contains(&shard) || !seen.insert(shard) {
-            return Err("a shard that was not asked for, or twice");
-        }
-        if value["payload"] != format!("{shard}/{id}") {
-            return Err("a value that no node made");
-        }
-    }
-    let is_complete = seen.len() == shards.len();
-    if seen.is_empty() || body["all_in"] == Json::Bool(true) && !is_complete {
-        return Err("marked complete and is not");
-    }
-    Ok(())
-}
-
-/// How many shard requests a node of this age may get in a window.
-fn cold_allowance(age: Micros) -> f64 {
-    let window = (COLD_WINDOW_MS * MILLISECOND) as f64;
-    let capacity = COLD_SHARE + (1.0 - COLD_SHARE) * age as f64 / (WARM_UP_MS * MILLISECOND) as f64;
-    let count = COLD_MULTIPLE * capacity * window / (MEAN_WORK_MS as f64 * MILLISECOND as f64);
-    if count < 30.0 { count + 3.0 * count.sqrt() + 3.0 } else { count + 2.0 * count.sqrt() + 2.0 }
-}
