A connection that was just accepted is kept for its first request in a shutdown

Cause: close_idle half-closed connections in state New whatever their age; what came on them later was read and discarded.

--- a/crates/query-router/src/router/clients/idle.rs
+++ b/crates/query-router/src/router/clients/idle.rs
@@ -8,12 +8,23 @@
 /// How long a connection is still read after its writing side was closed.
 pub const LINGER: Micros = 1_000_000;
 
-/// Graceful shutdown: closes the connections without a request.
+/// How long after it was accepted a connection without a request is kept in a shutdown: its request is on the way.
+const FIRST_REQUEST_GRACE: Micros = 300_000;
+
+/// Graceful shutdown: closes the connections between requests. Guards against losing the first request of a connection
+/// that was just accepted, which its client does not send again.
 pub fn close_idle(context: &mut Context) {
     context.shutdown.close_idle();
-    let idle: Vec<ConnectionId> = without_request(context).map(|(id, _)| id).collect();
-    for id in idle {
-        half_close(context, id);
+    let idle: Vec<(ConnectionId, Option<Micros>)> = without_request(context)
+        .map(|(id, client)| {
+            (id, (client.state == ClientState::New).then_some(client.idle_from + FIRST_REQUEST_GRACE))
+        })
+        .collect();
+    for (id, first_request_by) in idle {
+        match first_request_by.filter(|&at| at > context.now) {
+            Some(at) => context.set_connection_timer(id, Some(at)),
+            None => half_close(context, id),
+        }
     }
 }
 
