--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -1,7 +1,7 @@
 //! Makes system calls of a process under test fail, return less than was asked for, or take long, and shifts or steps
 //! its wall clock. The process is started with this library in `LD_PRELOAD` and a control file in
 //! [`CONTROL_VARIABLE`](fault_control::CONTROL_VARIABLE); the test changes the file while the process runs
-//! ([`Control`](fault_control::Control)).
+//! ([`fault_control::Control`]).
 //!
 //! At load time the library installs a system-call filter on its own process, without special rights: the filtered calls
 //! raise SIGSYS, whose handler either fails the call or carries it out from the one address that the filter lets
