--- a/crates/query-router/src/router/clients/replies.rs
+++ b/crates/query-router/src/router/clients/replies.rs
@@ -22,8 +22,12 @@
     ) {
         count_completion(context, completion);
         if !matches!(completion, Completion::Complete) {
-            let (id, outcomes) = (queries.wire_id(query), queries.outcomes(query));
-            tracing::debug!(query = id, ?completion, ?outcomes, "query not answered in full");
+            tracing::debug!(
+                query = queries.wire_id(query),
+                ?completion,
+                outcomes = ?queries.outcomes(query),
+                "query not answered in full"
+            );
         }
         match completion {
             Completion::Complete | Completion::Partial => {
