A warming node gets this router's part of a window and nothing saved up beside it

What was saved up is by a router's own mean, the window's part is equal: the two were added. Now the part is the larger of the two, without saving. Sum over routers: with x the router's share of the warm load times the number of routers, routers with x under 1 are limited by their demand and leave what those above take; for a utilization U of warm nodes and a share s of it that a cold one takes the sum is at most 1 + U - s of the allowance in the extreme case (one router has all the excess), and 1 for equal routers. The code moves to policy/slow_start.rs.

--- a/crates/balancer/src/policy/health.rs
+++ b/crates/balancer/src/policy/health.rs
@@ -177,7 +177,7 @@
         self.statistics.refresh_cross_zone(from, 8, 0.2);
         // Guards against a restarted router that takes the time before its start for time without traffic.
         let period = self.statistics.uptime(now).clamp(RECENT / 10, RECENT);
-        self.statistics.refresh_work_rate(from, period, self.shards.ready_nodes());
+        self.statistics.refresh_rates(from, period, self.shards.ready_nodes());
         for class in &mut self.classes {
             let duration = class.durations.quantile(0.75, from).unwrap_or(0.0) as Micros;
             class.usual_duration = duration.min(class.latency_objective / 2);
--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod retries;
 mod selection;
+mod slow_start;
 #[cfg(test)]
 mod tests;
 
--- a/crates/balancer/src/policy/selection.rs
+++ b/crates/balancer/src/policy/selection.rs
@@ -139,38 +139,6 @@
         self.statistics.cross_zone.get(self.nodes[id].zone).copied().unwrap_or(0)
     }
 
-    /// What a node that is warming up may be sent by the rule; none for a warm one.
-    pub(super) fn slow_start(&self, now: Micros, id: NodeId) -> Option<SlowStart> {
-        let (node, rule) = (&self.nodes[id], &self.site.cold_overload);
-        let since = node.started_at.max(node.last_outage_at);
-        let age = (now - rule.window - since).max(0) as f64;
-        let capacity = rule.initial_capacity + (1.0 - rule.initial_capacity) * age / rule.warm_up as f64;
-        let is_cold = since != 0 && now - since < rule.warm_up;
-        is_cold.then_some(SlowStart { since, share: rule.multiple * capacity })
-    }
-
-    /// Whether a node may be sent a batch of `planned` shard requests by the rule on nodes that warm up.
-    pub(super) fn has_cold_capacity(&self, now: Micros, id: NodeId, planned: usize, class: usize) -> bool {
-        let (node, window) = (&self.nodes[id], self.site.cold_overload.window);
-        let Some(SlowStart { since, share }) = self.slow_start(now, id) else { return true };
-        let allowance = share * window as f64 / self.site.routers;
-        let work = planned as f64 * self.expected_work(class) + self.site.batch_work;
-        if node.work_sent.sum(now - window) + work <= allowance {
-            return true;
-        }
-        // Among many routers the allowance is less than a batch. A warm node takes what all of them send it
-        // on average, so each may save up the part of its own average that the rule allows for a batch.
-        let last_sent_at = node.work_sent.last_at().filter(|&at| at > since);
-        let saved = (now - last_sent_at.unwrap_or(since)) as f64 * share * self.statistics.mean_work_rate;
-        saved >= work * last_sent_at.map_or(node.tie_break, |_| 1.0)
-    }
-
-    /// The work of a shard request, which is not reported: a low latency is close to it.
-    fn expected_work(&self, class: usize) -> f64 {
-        let unknown = self.classes[class].latency_objective as f64 / 10.0;
-        self.statistics.baseline.map_or(unknown, |baseline| baseline.low as f64)
-    }
-
     /// Sends an attempt, the first to a node in a decision with the work of its batch.
     pub(super) fn attempt(&mut self, now: Micros, assignment: Assignment, actions: &mut dyn Actions) {
         let mut work = self.expected_work(self.queries.query_of(assignment.shard_request).class);
--- /dev/null
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -0,0 +1,63 @@
+//! What a node that is warming up may be sent: each router keeps to a part of what all together may send it.
+
+use super::*;
+
+impl Balancer {
+    /// What a node that is warming up may be sent by the rule; none for a warm one.
+    pub(super) fn slow_start(&self, now: Micros, id: NodeId) -> Option<SlowStart> {
+        let (node, rule) = (&self.nodes[id], &self.site.cold_overload);
+        let since = node.started_at.max(node.last_outage_at);
+        let age = (now - rule.window - since).max(0) as f64;
+        let capacity = rule.initial_capacity + (1.0 - rule.initial_capacity) * age / rule.warm_up as f64;
+        let is_cold = since != 0 && now - since < rule.warm_up;
+        is_cold.then_some(SlowStart { since, share: rule.multiple * capacity })
+    }
+
+    /// Whether a node may be sent a batch of `planned` shard requests by the rule on nodes that warm up.
+    pub(super) fn has_cold_capacity(&self, now: Micros, id: NodeId, planned: usize, class: usize) -> bool {
+        let Some(slow_start) = self.slow_start(now, id) else { return true };
+        let work = self.batch_work(planned, class);
+        if self.fits_equal_part(&slow_start, class) {
+            return self.fits_window(now, id, &slow_start, work);
+        }
+        self.has_saved_up(now, id, &slow_start, work)
+    }
+
+    /// Whether an equal part of what all routers may send in a window holds a batch at all.
+    fn fits_equal_part(&self, slow_start: &SlowStart, class: usize) -> bool {
+        let window = self.site.cold_overload.window as f64;
+        self.batch_work(1, class) <= slow_start.share * window / self.site.routers
+    }
+
+    /// Whether `work` fits into what this router may send a node in a window: the larger of an equal part and
+    /// of the part that it has of a warm node's work. A router with little traffic leaves most of its equal
+    /// part to those that have more than others.
+    fn fits_window(&self, now: Micros, id: NodeId, slow_start: &SlowStart, work: f64) -> bool {
+        let window = self.site.cold_overload.window;
+        let part = self.statistics.mean_utilization().max(1.0 / self.site.routers);
+        let allowance = slow_start.share * window as f64 * part;
+        self.nodes[id].work_sent.sum(now - window) + work <= allowance
+    }
+
+    /// Whether the work of a batch has been saved up. Among many routers the equal part is less than a batch. A
+    /// warm node takes what all of them send it on average, so each may save up the part of its own average that
+    /// the rule allows for a batch.
+    fn has_saved_up(&self, now: Micros, id: NodeId, slow_start: &SlowStart, work: f64) -> bool {
+        let &SlowStart { since, share } = slow_start;
+        let node = &self.nodes[id];
+        let last_sent_at = node.work_sent.last_at().filter(|&at| at > since);
+        let saved = (now - last_sent_at.unwrap_or(since)) as f64 * share * self.statistics.mean_work_rate;
+        saved >= work * last_sent_at.map_or(node.tie_break, |_| 1.0)
+    }
+
+    /// The work of a batch of `shard_requests`.
+    fn batch_work(&self, shard_requests: usize, class: usize) -> f64 {
+        shard_requests as f64 * self.expected_work(class) + self.site.batch_work
+    }
+
+    /// The work of a shard request, which is not reported: a low latency is close to it.
+    pub(super) fn expected_work(&self, class: usize) -> f64 {
+        let unknown = self.classes[class].latency_objective as f64 / 10.0;
+        self.statistics.shard_request_work.map_or(unknown, |work| work as f64)
+    }
+}
--- a/crates/balancer/src/policy/tests/slow_start.rs
+++ b/crates/balancer/src/policy/tests/slow_start.rs
@@ -205,6 +205,17 @@
 const RULE: Rule = Rule { window: 1_000_000, multiple: 1.5, initial_capacity: 0.2, warm_up: 4_000_000 };
 /// Nearly all that warm nodes can take.
 const BUSY: Traffic = Traffic { utilization: [0.95, 0.95], restart_after: 14_000_000 };
+/// Twice as much from the restart on.
+const BURST: Traffic = Traffic { utilization: [0.5, 1.0], restart_after: 14_000_000 };
+/// The weights of 32 routers, the busiest of which has ten times the traffic of the quietest.
+fn unequal_weights() -> Vec<f64> {
+    (0..32).map(|index| 10f64.powf(index as f64 / 31.0)).collect()
+}
+
+/// The weights of 32 routers, half of which have hardly any traffic.
+fn half_idle_weights() -> Vec<f64> {
+    (0..32).map(|index| if index < 16 { 2.0 } else { 0.1 }).collect()
+}
 
 /// What happens: routers together send a node that warms up more than the rule allows, on a simulated clock up to 1.34
 /// times as much. Why: each assigned up to a whole batch once a single shard request fitted, and sent what it had saved
@@ -217,3 +228,49 @@
         assert!(peak <= 1.0, "{routers} routers: {peak:.2} of what is allowed");
     }
 }
+
+#[test]
+fn routers_with_unequal_traffic_together_keep_to_what_a_warming_node_may_be_sent() {
+    for (name, weights) in [("unequal", unequal_weights()), ("half idle", half_idle_weights())] {
+        let peak = peak_load(1, &RULE, &weights, BUSY);
+        assert!(peak <= 1.0, "{name}: {peak:.2} of what is allowed");
+    }
+}
+
+#[test]
+fn a_burst_at_a_warming_node_stays_within_what_it_may_be_sent() {
+    for (name, weights) in [("equal", vec![1.0; 64]), ("unequal", unequal_weights())] {
+        let peak = peak_load(1, &RULE, &weights, BURST);
+        assert!(peak <= 1.0, "{name}: {peak:.2} of what is allowed");
+    }
+}
+
+/// A balancer of one of `routers` routers whose node 0 starts now, with batches of four shard requests of 10 ms.
+fn balancer_with_warming_node(routers: f64) -> Balancer {
+    let mut balancer = balancer_with(Idempotency::Idempotent, |settings| {
+        *settings = Settings { routers, shards: std::mem::take(&mut settings.shards), ..RULE.settings(1) };
+    });
+    balancer.statistics.shard_request_work = Some(10_000);
+    update_endpoints(&mut balancer, EndpointUpdate::Incremental, &[(0, EndpointState::Ready, NOW)]);
+    balancer
+}
+
+#[test]
+fn a_router_with_more_traffic_than_others_sends_a_warming_node_its_part_of_a_warm_nodes_work() {
+    let mut balancer = balancer_with_warming_node(10.0);
+    // 0.02 shard requests in a millisecond are 0.2 of a core, twice an equal part: 60 ms of work in a window.
+    balancer.statistics.mean_request_rate = 0.00002;
+    assert!(
+        balancer.has_cold_capacity(NOW, NodeId(0), 6, 0) && !balancer.has_cold_capacity(NOW, NodeId(0), 7, 0)
+    );
+}
+
+#[test]
+fn work_that_was_sent_before_latencies_were_known_does_not_raise_the_part_of_a_router() {
+    let mut balancer = balancer_with_warming_node(10.0);
+    // Ten shard requests of 10 ms in a second are 0.05 of a core at each of two nodes, though 100 ms were assumed.
+    balancer.statistics.work_sent.push_times(NOW - 1, 100_000.0, 10);
+    balancer.refresh_statistics(NOW);
+    assert!((balancer.statistics.mean_utilization() - 0.05).abs() < 1e-9);
+    assert!(!balancer.has_cold_capacity(NOW, NodeId(0), 4, 0));
+}
--- a/crates/balancer/src/state/fleet_statistics.rs
+++ b/crates/balancer/src/state/fleet_statistics.rs
@@ -22,14 +22,18 @@
     pub latencies: SlidingWindow,
     /// Recent latencies, once there are enough.
     pub baseline: Option<BaselineLatency>,
+    /// The work of a shard request by the last baseline, once there was one.
+    pub shard_request_work: Option<Micros>,
     /// Latencies of attempts that were answered, by zone.
     pub zone_latencies: Vec<SlidingWindow>,
     /// How much longer an answer takes than from the nearest zone, by zone.
     pub cross_zone: Vec<Micros>,
-    /// Work sent.
+    /// Work sent, a sample for each shard request.
     pub work_sent: SlidingWindow,
     /// Work sent to a ready node on average in a microsecond.
     pub mean_work_rate: f64,
+    /// Shard requests sent to a ready node on average in a microsecond.
+    pub mean_request_rate: f64,
     /// When the balancer first decided.
     pub first_decision_at: Option<Micros>,
     /// How many batches were sent.
@@ -72,6 +76,7 @@
             let [low, median, high] = shares.map(quantile);
             BaselineLatency { low, median, high }
         });
+        self.shard_request_work = self.baseline.map(|baseline| baseline.low).or(self.shard_request_work);
     }
 
     /// Computes by a quantile of the latencies since `from` how much longer an answer takes than from the
@@ -85,9 +90,18 @@
         self.cross_zone = zones.into_iter().map(distance).collect();
     }
 
-    /// Computes the mean work rate of a ready node from what was sent since `from`, which is `period` ago.
-    pub fn refresh_work_rate(&mut self, from: Micros, period: Micros, ready_nodes: usize) {
-        self.mean_work_rate = self.work_sent.sum(from) / period as f64 / ready_nodes.max(1) as f64;
+    /// The share of a core that a ready node spends on shard requests of this router on average; 0 until their
+    /// work is known. What was sent before counts by what is known now, since the assumption that its work was
+    /// counted by may be many times too high.
+    pub fn mean_utilization(&self) -> f64 {
+        self.shard_request_work.map_or(0.0, |work| work as f64 * self.mean_request_rate)
+    }
+
+    /// Computes the mean rates of a ready node from what was sent since `from`, which is `period` ago.
+    pub fn refresh_rates(&mut self, from: Micros, period: Micros, ready_nodes: usize) {
+        let span = period as f64 * ready_nodes.max(1) as f64;
+        self.mean_work_rate = self.work_sent.sum(from) / span;
+        self.mean_request_rate = self.work_sent.count(from) as f64 / span;
     }
 
     /// How long the balancer has been deciding.
