--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -124,7 +124,9 @@
                 15 => Manner::StopInTheMiddle,
                 _ => Manner::Plain,
             };
-            if self.rng.u32(0..4) == 0 {
+            let may_connect = self.front.may_connect.load(Ordering::SeqCst);
+            // Clients keep using the connections that they have where they get no new one.
+            if may_connect && self.rng.u32(0..4) == 0 {
                 self.connection = None;
             }
             if !self.connect() {
@@ -179,38 +181,46 @@
     /// Sends one request and reads its answer. One that crosses the close of a connection is sent once more.
     fn ask(&mut self, manner: Manner) {
         let request = self.new_request();
-        let mut manner = manner;
-        for is_second_try in [false, true] {
-            if is_second_try {
-                self.connection = None;
-                if !self.connect() {
-                    return;
-                }
-                manner = Manner::Plain;
-            }
-            let Some(mut connection) = self.connection.take() else { return };
-            let is_new_connection = connection.is_new;
-            if !write_request(&mut connection, &request, manner) && !is_new_connection && !is_second_try {
-                continue;
-            }
-            self.report_asked(now(), &request, None);
-            if manner == Manner::LeaveEarly {
-                sleep_ms(self.rng.u64(0..40));
-                drop(connection);
-                Record::Left { at: now(), id: request.id }.print();
-                return;
-            }
-            match read_answer(&mut connection, &request) {
-                Ok(true) => {
-                    connection.is_new = false;
-                    self.connection = Some(connection);
-                    return;
-                }
-                Ok(false) => return,
-                Err(NoAnswer::Closed) if !is_new_connection && !is_second_try => {}
-                Err(cause) => return report_lost(&request, is_new_connection, cause),
-            }
+        let Some(mut connection) = self.connection.take() else { return };
+        let is_new_connection = connection.is_new;
+        if !write_request(&mut connection, &request, manner) && !is_new_connection {
+            return self.ask_again(&request);
+        }
+        self.report_asked(now(), &request, None);
+        if manner == Manner::LeaveEarly {
+            sleep_ms(self.rng.u64(0..40));
+            drop(connection);
+            Record::Left { at: now(), id: request.id }.print();
+            return;
         }
+        match read_answer(&mut connection, &request) {
+            Ok(true) => self.keep(connection),
+            Ok(false) => {}
+            Err(NoAnswer::Closed) if !is_new_connection => self.ask_again(&request),
+            Err(cause) => report_lost(&request, is_new_connection, cause),
+        }
+    }
+
+    /// Sends a request once more, on a new connection.
+    fn ask_again(&mut self, request: &Request) {
+        self.connection = None;
+        if !self.connect() {
+            return;
+        }
+        let Some(mut connection) = self.connection.take() else { return };
+        write_request(&mut connection, request, Manner::Plain);
+        self.report_asked(now(), request, None);
+        match read_answer(&mut connection, request) {
+            Ok(true) => self.keep(connection),
+            Ok(false) => {}
+            Err(cause) => report_lost(request, true, cause),
+        }
+    }
+
+    /// Keeps a connection on which an answer came.
+    fn keep(&mut self, mut connection: Connection) {
+        connection.is_new = false;
+        self.connection = Some(connection);
     }
 
     /// Sends several requests at once and reads their answers in order.
@@ -230,6 +240,7 @@
                 Ok(true) => connection.is_new = false,
                 Ok(false) => return,
                 Err(NoAnswer::Timeout) => return report_lost(request, connection.is_new, NoAnswer::Timeout),
+                Err(NoAnswer::Closed) if index == 0 && !connection.is_new => return self.ask_again(request),
                 Err(NoAnswer::Closed) => {
                     let is_first = request.id == requests[0].id;
                     return report_lost(request, connection.is_new && is_first, NoAnswer::Closed);
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{Micros, now, wall_clock_ms};
 use crate::config::router_config;
+use crate::crowd::Crowd;
 use crate::discovery::{Discovery, Mood};
 use crate::node::Behaviour;
 use crate::node_process::{RecordingProcess, Records};
@@ -12,6 +13,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// Every how many seeds a run has a crowd.
+const CROWD_EVERY: u64 = 3;
+
 /// How many processes of each kind there are.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -41,6 +45,15 @@
     pub until: Option<Micros>,
 }
 
+/// A time in which a router may be held up between reading its clock and writing.
+#[derive(Clone, Copy, Debug)]
+pub struct RouterHold {
+    pub router: usize,
+    pub from: Micros,
+    /// `None` while it lasts.
+    pub until: Option<Micros>,
+}
+
 /// A data node behind its proxy.
 pub struct NodeHandle {
     pub process: Option<RecordingProcess>,
@@ -60,6 +73,9 @@
     pub moods: Vec<(Micros, Mood)>,
     pub published: Vec<Published>,
     pub holds: Vec<Hold>,
+    pub router_holds: Vec<RouterHold>,
+    /// Idle connections that fill the routers' descriptors, in some runs.
+    pub crowd: Option<Crowd>,
     pub nodes: Vec<NodeHandle>,
     pub routers: Vec<RouterProcess>,
     pub clients: Vec<(usize, RecordingProcess)>,
@@ -86,6 +102,8 @@
             moods: vec![(now(), Mood::Well)],
             published: Vec::new(),
             holds: Vec::new(),
+            router_holds: Vec::new(),
+            crowd: None,
             nodes: Vec::new(),
             routers: Vec::new(),
             clients: Vec::new(),
@@ -104,6 +122,7 @@
             cluster.start_router(index);
             cluster.add_clients(index);
         }
+        cluster.start_crowd();
         cluster
     }
 
@@ -190,7 +209,7 @@
         self.nodes[node].process = None;
     }
 
-    /// Starts a node's process anew and publishes it.
+    /// Starts a node's process anew.
     pub fn restart_node(&mut self, node: usize) {
         let process = start_node(node, &self.records);
         let handle = &mut self.nodes[node];
@@ -198,7 +217,6 @@
         handle.process = Some(process);
         (handle.started_at, handle.up_since_ms) = (now(), wall_clock_ms());
         handle.behaviour = Behaviour::Serve;
-        self.publish(node, "ready");
     }
 
     /// Changes how a node behaves.
@@ -229,6 +247,37 @@
         }
     }
 
+    /// Changes whether a router may be held up.
+    pub fn set_router_held(&mut self, router: usize, is_held: bool) {
+        let at = now();
+        if is_held {
+            self.router_holds.push(RouterHold { router, from: at, until: None });
+        }
+        if !is_held && let Some(hold) = self.router_holds.iter_mut().rfind(|hold| hold.router == router) {
+            hold.until = hold.until.or(Some(at));
+        }
+    }
+
+    /// Stops a router for a moment.
+    pub fn pause_router(&mut self, router: usize, milliseconds: u64) {
+        self.set_router_held(router, true);
+        self.routers[router].pause(milliseconds);
+        self.set_router_held(router, false);
+    }
+
+    /// Whether the run has a crowd.
+    pub fn has_crowd(&self) -> bool {
+        self.seed.is_multiple_of(CROWD_EVERY)
+    }
+
+    /// Fills the routers' descriptors with idle connections in every third run.
+    fn start_crowd(&mut self) {
+        if self.has_crowd() {
+            let addresses = self.routers.iter().map(|router| router.address).collect();
+            self.crowd = Some(Crowd::start(addresses));
+        }
+    }
+
     /// Changes how discovery treats its callers.
     pub fn set_mood(&mut self, mood: Mood) {
         self.discovery.set_mood(mood);
@@ -246,6 +295,7 @@
 
     /// Ends the clients, then the routers in order.
     pub fn finish(&mut self) {
+        self.crowd = None;
         for (_, client) in &mut self.clients {
             client.tell("end");
         }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod cluster;
 mod config;
+mod crowd;
 mod discovery;
 mod judge;
 mod node;
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -63,6 +63,8 @@
     operator_path: PathBuf,
     child: Option<Child>,
     terminated: bool,
+    /// How many processes were started.
+    generation: usize,
 }
 
 impl RouterProcess {
@@ -86,6 +88,7 @@
             operator_path,
             child: None,
             terminated: false,
+            generation: 0,
         }
     }
 
@@ -119,6 +122,7 @@
         });
         self.child = Some(child);
         self.terminated = false;
+        self.generation += 1;
         let started = now();
         while now() - started < READY_TIMEOUT {
             if self.is_ready() {
@@ -169,19 +173,34 @@
         self.signal(Signal::CONT);
     }
 
+    /// The number of the last process that was started.
+    pub fn generation(&self) -> usize {
+        self.generation
+    }
+
+    /// Whether the process was told to end: until its time is over it is not killed.
+    pub fn is_terminated(&self) -> bool {
+        self.child.is_some() && self.terminated
+    }
+
     /// Tells the process to end.
     pub fn terminate(&mut self) {
-        self.terminated = true;
-        self.note(Incident::Terminated);
-        self.signal(Signal::TERM);
+        if self.child.is_some() && !self.terminated {
+            self.terminated = true;
+            self.note(Incident::Terminated);
+        }
+        if self.terminated {
+            self.signal(Signal::TERM);
+        }
     }
 
     /// Kills the process, if it runs.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            // Clients notice the end before it has been waited for.
+            self.note(Incident::Killed);
             let _ = child.kill();
             let _ = child.wait();
-            self.note(Incident::Killed);
         }
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -129,7 +129,7 @@
         }
         println!(
             "seed {seed}: {} violations; {} requests, {} complete, {} rejected, {} failed; {} attempts, {} further; \
-             {} actions, {faults} system calls failed",
+             {} actions, {faults} system calls failed; at most {} ms beyond a deadline, {} ms after an end",
             violations.len(),
             totals.requests,
             totals.complete,
@@ -137,7 +137,9 @@
             totals.failed,
             totals.attempts,
             totals.further_attempts,
-            schedule.done.len()
+            schedule.done.len(),
+            totals.peaks.deadline_excess / MILLISECOND,
+            totals.peaks.after_end / MILLISECOND
         );
         let is_known = |rule: &str| self.known.split(',').any(|known| known == rule);
         let known = violations.iter().filter(|violation| is_known(violation.rule)).count();
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -15,6 +15,12 @@
 const FRONT_DELAY_MS: i64 = 300;
 /// When a router is killed after it was told to end, beyond the longest deadline (3 s at most).
 const KILL_DELAY_MS: i64 = 700;
+/// When SIGTERM is sent: it comes more than once.
+const TERMINATE_DELAYS_MS: [i64; 3] = [0, 60, 250];
+/// When a reload and a look at the counters follow the first of them.
+const SIGNAL_SPACING_MS: i64 = 120;
+/// How much later than its start a node is told at most.
+const MAX_TOLD_LATE_MS: i64 = 1500;
 /// How many nodes stay sound.
 const MIN_SOUND_NODES: usize = 2;
 /// For how long a call or a process is held up.
@@ -23,7 +29,10 @@
 /// Something that is done to the cluster.
 #[derive(Clone, Copy, Debug)]
 enum Action {
-    Terminate(usize),
+    /// Tells a process to end, given by its router and its generation.
+    Terminate(usize, usize),
+    /// Kills a process that was told to end and still runs.
+    KillTerminated(usize, usize),
     CloseFront(usize),
     KillRouter(usize),
     StartRouter(usize),
@@ -40,6 +49,8 @@
     Remove(usize),
     KillNode(usize),
     RestartNode(usize),
+    PublishReady(usize),
+    PrintCounters(usize),
     PauseNode(usize),
     ResumeNode(usize),
     SetPath(usize, Path),
@@ -96,8 +107,20 @@
 
     fn carry_out(&mut self, cluster: &mut Cluster, action: Action) {
         match action {
-            Action::Terminate(router) => cluster.routers[router].terminate(),
+            Action::Terminate(router, generation) => {
+                if cluster.routers[router].generation() == generation {
+                    cluster.routers[router].terminate();
+                }
+            }
+            Action::KillTerminated(router, generation) => {
+                if cluster.routers[router].generation() == generation {
+                    cluster.tell_clients(router, "closed");
+                    cluster.routers[router].kill();
+                }
+            }
             Action::CloseFront(router) => cluster.tell_clients(router, "closed"),
+            // A kill without notice is no kill after SIGTERM, which has its time.
+            Action::KillRouter(router) if cluster.routers[router].is_terminated() => {}
             Action::KillRouter(router) => {
                 cluster.tell_clients(router, "closed");
                 cluster.routers[router].kill();
@@ -110,14 +133,18 @@
             Action::Reload(router) => cluster.reload_router(router),
             Action::ReloadHalfConfig(router) => cluster.reload_half_config(router),
             Action::CompleteConfig(router) => cluster.complete_config(router),
-            Action::PauseRouter(router) => cluster.routers[router].pause(HOLD_UP_MS),
+            Action::PauseRouter(router) => cluster.pause_router(router, HOLD_UP_MS),
             Action::FailCalls(router) => fail_calls(cluster, router),
             Action::HoldUpCalls(router) => {
+                cluster.set_router_held(router, true);
                 let control = &cluster.routers[router].control;
                 control.set_delay_ms(HOLD_UP_MS);
                 control.set_rate(Call::Send, 5, &[Fault::Delay]);
             }
-            Action::ClearFaults(router) => cluster.routers[router].control.clear(),
+            Action::ClearFaults(router) => {
+                cluster.routers[router].control.clear();
+                cluster.set_router_held(router, false);
+            }
             Action::StepClock(router, shift) => {
                 cluster.routers[router].control.set_wall_clock_shift_ms(shift)
             }
@@ -126,6 +153,8 @@
             Action::Remove(node) => cluster.publish(node, "gone"),
             Action::KillNode(node) => cluster.kill_node(node),
             Action::RestartNode(node) => cluster.restart_node(node),
+            Action::PublishReady(node) => cluster.publish(node, "ready"),
+            Action::PrintCounters(router) => cluster.routers[router].signal(Signal::USR1),
             Action::PauseNode(node) => {
                 cluster.set_held(node, true);
                 cluster.signal_node(node, Signal::STOP);
@@ -166,9 +195,17 @@
         }
         match self.rng.u32(0..6) {
             0 | 1 => {
-                self.after(0, Action::Terminate(router));
+                let generation = cluster.routers[router].generation();
+                for delay in TERMINATE_DELAYS_MS {
+                    self.after(delay, Action::Terminate(router, generation));
+                }
+                self.after(SIGNAL_SPACING_MS, Action::Reload(router));
+                self.after(SIGNAL_SPACING_MS, Action::PrintCounters(router));
                 self.after(FRONT_DELAY_MS, Action::CloseFront(router));
-                self.after(KILL_DELAY_MS + longest_deadline_ms().min(3000), Action::KillRouter(router));
+                self.after(
+                    KILL_DELAY_MS + longest_deadline_ms().min(3000),
+                    Action::KillTerminated(router, generation),
+                );
                 self.after(KILL_DELAY_MS + longest_deadline_ms().min(3000) + 50, Action::StartRouter(router));
             }
             2 => {
@@ -227,11 +264,11 @@
                 self.after(0, Action::Drain(node));
                 self.after(duration, Action::Remove(node));
                 self.after(duration + 50, Action::KillNode(node));
-                self.after(duration + 600, Action::RestartNode(node));
+                self.restart_after(duration + 600, node);
             }
             2 => {
                 self.after(0, Action::KillNode(node));
-                self.after(duration, Action::RestartNode(node));
+                self.restart_after(duration, node);
             }
             3 => {
                 self.after(0, Action::PauseNode(node));
@@ -252,6 +289,15 @@
     }
 }
 
+impl Schedule {
+    /// Restarts a node, which is told at once or late.
+    fn restart_after(&mut self, milliseconds: i64, node: usize) {
+        let told_late = if self.rng.bool() { self.rng.i64(100..MAX_TOLD_LATE_MS) } else { 0 };
+        self.after(milliseconds, Action::RestartNode(node));
+        self.after(milliseconds + told_late, Action::PublishReady(node));
+    }
+}
+
 /// Has system calls of a router fail in ways that pass.
 fn fail_calls(cluster: &Cluster, router: usize) {
     let control = &cluster.routers[router].control;
