Soak: what the machine holds up is measured, and is not judged by its times

Each process of a run now notes when it did not get to run; attempts near a stall of over 40 ms are not judged by their times, as those near a node that the run holds, and their number is printed. Nodes that the run stops itself are left out of this. Nodes also hang through a whole shutdown at times, and a class with a long deadline that may not be repeated keeps its answer owed until then.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -3,6 +3,7 @@
 use crate::clock::{MILLISECOND, Micros, SECOND, now, sleep_ms};
 use crate::config::{CLASSES, Class, SHARDS};
 use crate::record::Record;
+use crate::stall;
 use argh::FromArgs;
 use fastrand::Rng;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -57,6 +58,7 @@
             }));
         }
         Record::Ready { address: String::new() }.print();
+        stall::watch_and_print(None);
         for line in std::io::stdin().lock().lines().map_while(Result::ok) {
             match line.trim() {
                 "open" => front.may_connect.store(true, Ordering::SeqCst),
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -36,10 +36,12 @@
 }
 
 /// The service classes.
-pub const CLASSES: [Class; 3] = [
+pub const CLASSES: [Class; 4] = [
     Class { name: "look", is_idempotent: true, deadline_ms: 1500 },
     Class { name: "pay", is_idempotent: false, deadline_ms: 1500 },
     Class { name: "report", is_idempotent: true, deadline_ms: 5000 },
+    // Not repeated, so that at nodes that hang through a shutdown it is still out when its answer is owed.
+    Class { name: "transfer", is_idempotent: false, deadline_ms: 5000 },
 ];
 
 /// The longest deadline of any class.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -16,6 +16,7 @@
 mod record;
 mod router_process;
 mod run;
+mod stall;
 mod troubles;
 
 use argh::FromArgs;
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -3,6 +3,7 @@
 use crate::clock::{now, sleep_ms};
 use crate::config::MEAN_WORK_MS;
 use crate::record::Record;
+use crate::stall;
 use argh::FromArgs;
 use std::collections::HashSet;
 use std::io::{BufRead, Read, Write};
@@ -82,6 +83,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         Record::Ready { address }.print();
+        stall::watch_and_print(Some(self.index));
         let shared = Arc::new(Shared { index: self.index, behaviour: AtomicU8::new(0) });
         let served = shared.clone();
         std::thread::spawn(move || {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -31,13 +31,15 @@
     BadClientEnded { at: Micros, router: usize, after: Micros, is_ended_by_router: bool },
     /// Something came on a connection after the final answer.
     SentAfterAnswer { at: Micros, id: String },
+    /// A process of the run, a data node or another one, did not get to run in this time.
+    Stalled { node: Option<usize>, from: Micros, until: Micros },
 }
 
 impl Record {
     /// The id of the query or shard request that it is about.
     pub fn id(&self) -> Option<&str> {
         match self {
-            Record::Ready { .. } | Record::BadClientEnded { .. } => None,
+            Record::Ready { .. } | Record::BadClientEnded { .. } | Record::Stalled { .. } => None,
             Record::Received { id, .. }
             | Record::Asked { id, .. }
             | Record::Answered { id, .. }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,10 +4,13 @@
 use crate::cluster::{Cluster, Size};
 use crate::judge::judge;
 use crate::router_process::RouterProcess;
+use crate::stall;
 use crate::troubles::Schedule;
 use argh::FromArgs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Run the soak test and judge it.
 #[derive(FromArgs)]
@@ -68,6 +71,12 @@
     fn run_seed(&self, program: &Path, seed: u64) -> usize {
         let size = Size { routers: self.routers, nodes: self.nodes, clients_per_router: self.clients };
         let mut cluster = Cluster::start(size, program, seed);
+        let (records, has_ended) = (cluster.records.clone(), Arc::new(AtomicBool::new(false)));
+        let flag = has_ended.clone();
+        let watch = stall::watch(None, move |stall| {
+            records.lock().expect("a lock").extend(stall);
+            !flag.load(Ordering::SeqCst)
+        });
         let mut schedule = Schedule::new(seed);
         let started = now();
         let mut next_trouble_at = started + SECOND;
@@ -87,6 +96,8 @@
         }
         sleep_ms(SETTLE_TIME_MS);
         cluster.finish();
+        has_ended.store(true, Ordering::SeqCst);
+        let _ = watch.join();
         self.report(&cluster, &schedule, seed)
     }
 
@@ -129,7 +140,8 @@
         }
         println!(
             "seed {seed}: {} violations; {} requests, {} complete, {} rejected, {} failed; {} attempts, {} further; \
-             {} actions, {faults} system calls failed; at most {} ms beyond a deadline, {} ms after an end",
+             {} actions, {faults} system calls failed; at most {} ms beyond a deadline, {} ms after an end, stalls of \
+             {} ms at most, {} attempts near them not judged by time",
             violations.len(),
             totals.requests,
             totals.complete,
@@ -139,7 +151,9 @@
             totals.further_attempts,
             schedule.done.len(),
             totals.peaks.deadline_excess / MILLISECOND,
-            totals.peaks.after_end / MILLISECOND
+            totals.peaks.after_end / MILLISECOND,
+            totals.peaks.stall / MILLISECOND,
+            totals.peaks.near_stalls
         );
         let is_known = |rule: &str| self.known.split(',').any(|known| known == rule);
         let known = violations.iter().filter(|violation| is_known(violation.rule)).count();
--- /dev/null
+++ b/crates/soak/src/stall.rs
@@ -0,0 +1,38 @@
+//! Notes when a process of the run did not get to run, so that what it measured then is too late by as much.
+
+use crate::clock::{MILLISECOND, Micros, now, sleep_ms};
+use crate::record::Record;
+use std::thread::JoinHandle;
+
+/// How long the watching thread sleeps each time.
+const SLEEP_MS: u64 = 5;
+/// A sleep that lasts longer than asked for by this is reported.
+const REPORTED_FROM: Micros = 10 * MILLISECOND;
+
+/// Watches this process, that of a data node or another one, on a thread of its own until `report` returns false.
+pub fn watch(
+    node: Option<usize>, report: impl Fn(Option<Record>) -> bool + Send + 'static,
+) -> JoinHandle<()> {
+    std::thread::spawn(move || {
+        loop {
+            let from = now();
+            sleep_ms(SLEEP_MS);
+            let until = now();
+            let late = until - from - SLEEP_MS as Micros * MILLISECOND;
+            let stall = (late > REPORTED_FROM).then_some(Record::Stalled { node, from, until });
+            if !report(stall) {
+                return;
+            }
+        }
+    })
+}
+
+/// Watches this process and prints its stalls.
+pub fn watch_and_print(node: Option<usize>) {
+    watch(node, |stall| {
+        if let Some(stall) = stall {
+            stall.print();
+        }
+        true
+    });
+}
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -199,6 +199,9 @@
                 for delay in TERMINATE_DELAYS_MS {
                     self.after(delay, Action::Terminate(router, generation));
                 }
+                if self.rng.u32(0..3) == 0 {
+                    self.hang_all_nodes(cluster, KILL_DELAY_MS + longest_deadline_ms().min(3000));
+                }
                 self.after(SIGNAL_SPACING_MS, Action::Reload(router));
                 self.after(SIGNAL_SPACING_MS, Action::PrintCounters(router));
                 self.after(FRONT_DELAY_MS, Action::CloseFront(router));
@@ -290,6 +293,14 @@
 }
 
 impl Schedule {
+    /// Has all nodes that behave well hang for a while.
+    fn hang_all_nodes(&mut self, cluster: &Cluster, milliseconds: i64) {
+        for node in cluster.sound_nodes() {
+            self.after(0, Action::SetBehaviour(node, Behaviour::Hang));
+            self.after(milliseconds, Action::SetBehaviour(node, Behaviour::Serve));
+        }
+    }
+
     /// Restarts a node, which is told at once or late.
     fn restart_after(&mut self, milliseconds: i64, node: usize) {
         let told_late = if self.rng.bool() { self.rng.i64(100..MAX_TOLD_LATE_MS) } else { 0 };
