Nodes that could not be reached are held to the slow-start rule once a start is listed

Mend: the rule binds where a start was told. Nodes that are only suspected of one get, as before, what was saved up beside their window; one whose start is listed warms up by that start.

--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -14,8 +14,8 @@
 mod tests;
 
 use crate::state::{
-    Assignment, Candidate, Choice, Completeness, InFlightAttempt, LimitCheck, Observation, Plan, Preference,
-    Progress, Query, Repeat, SamplesRetained, Silence, SlowStart,
+    Assignment, Candidate, Choice, ColdEvidence, Completeness, InFlightAttempt, LimitCheck, Observation,
+    Plan, Preference, Progress, Query, Repeat, SamplesRetained, Silence, SlowStart,
 };
 use crate::{
     Actions, AttemptEnd, AttemptOutcome, Balancer, Completion, EndpointHealth, Idempotency, LoadReport,
--- a/crates/balancer/src/policy/slow_start.rs
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -6,23 +6,37 @@
     /// What a node that is warming up may be sent by the rule; none for a warm one.
     pub(super) fn slow_start(&self, now: Micros, id: NodeId) -> Option<SlowStart> {
         let (node, rule) = (&self.nodes[id], &self.site.cold_overload);
-        let since = node.started_at.max(node.last_outage_at);
+        let is_listed = node.started_at != 0 && now - node.started_at < rule.warm_up;
+        let (since, evidence) = if is_listed {
+            (node.started_at, ColdEvidence::ListedStart)
+        } else {
+            (node.last_outage_at, ColdEvidence::Outage)
+        };
         let age = now - since;
         let share_at = |age: Micros| {
             let warmed_up = age.max(0) as f64 / rule.warm_up as f64;
             rule.multiple * (rule.initial_capacity + (1.0 - rule.initial_capacity) * warmed_up)
         };
         let is_cold = since != 0 && age < rule.warm_up;
-        is_cold.then(|| SlowStart { since, share: share_at(age - rule.window), present_share: share_at(age) })
+        is_cold.then(|| SlowStart {
+            since,
+            share: share_at(age - rule.window),
+            present_share: share_at(age),
+            evidence,
+        })
     }
 
     /// Whether a node may be sent a batch of `planned` shard requests by the rule on nodes that warm up.
     pub(super) fn has_cold_capacity(&self, now: Micros, id: NodeId, planned: usize, class: usize) -> bool {
         let Some(slow_start) = self.slow_start(now, id) else { return true };
-        if self.fits_equal_part(&slow_start, class) {
-            return self.fits_window(now, id, &slow_start, self.batch_work(planned, class));
+        let fits_window = || self.fits_window(now, id, &slow_start, self.batch_work(planned, class));
+        let has_saved_up = || self.has_saved_up(now, id, &slow_start, class);
+        match slow_start.evidence {
+            // Guards against connections that come up late: most nodes that could not be reached are warm.
+            ColdEvidence::Outage => fits_window() || has_saved_up(),
+            ColdEvidence::ListedStart if self.fits_equal_part(&slow_start, class) => fits_window(),
+            ColdEvidence::ListedStart => has_saved_up(),
         }
-        self.has_saved_up(now, id, &slow_start, class)
     }
 
     /// How many more shard requests, at most `wanted`, a batch may carry that has `planned` already.
@@ -30,7 +44,10 @@
         &self, now: Micros, id: NodeId, planned: usize, class: usize, wanted: usize,
     ) -> usize {
         // Where a batch is saved up, its whole work is saved up again before the next one.
-        if self.slow_start(now, id).is_none_or(|slow_start| !self.fits_equal_part(&slow_start, class)) {
+        let is_limited = |slow_start: SlowStart| {
+            slow_start.evidence == ColdEvidence::ListedStart && self.fits_equal_part(&slow_start, class)
+        };
+        if !self.slow_start(now, id).is_some_and(is_limited) {
             return wanted;
         }
         let fits = |count: &usize| self.has_cold_capacity(now, id, planned + count, class);
--- a/crates/balancer/src/policy/tests/slow_start.rs
+++ b/crates/balancer/src/policy/tests/slow_start.rs
@@ -307,3 +307,27 @@
     assert!(!balancer.has_cold_capacity(NOW + 500_000, NodeId(0), 1, 0));
     assert!(balancer.has_cold_capacity(NOW + 1_100_000, NodeId(0), 1, 0));
 }
+
+#[test]
+fn a_node_that_could_not_be_reached_also_gets_what_was_saved_up_since_no_start_is_listed() {
+    let mut balancer = balancer_with_warming_node(10.0);
+    balancer.statistics.mean_work_rate = 0.5;
+    for node in [NodeId(0), NodeId(1)] {
+        balancer.nodes[node].last_outage_at = NOW;
+        balancer.nodes[node].work_sent.push(NOW + 1, 1_000_000.0);
+    }
+    let later = NOW + 3_900_000;
+    balancer.nodes[NodeId(0)].work_sent.push(later, 1_000_000.0);
+    balancer.nodes[NodeId(1)].work_sent.push(later - 100_000, 10_000.0);
+    balancer.nodes[NodeId(1)].work_sent.push(later - 90_000, 10_000.0);
+    assert!(!balancer.has_cold_capacity(later, NodeId(0), 1, 0), "its start is listed: the window is spent");
+    assert!(balancer.has_cold_capacity(later, NodeId(1), 1, 0));
+    assert_eq!(balancer.cold_batch_limit(later, NodeId(1), 0, 0, 4), 4);
+}
+
+#[test]
+fn an_outage_after_a_listed_start_does_not_begin_the_warm_up_again() {
+    let mut balancer = balancer_with_warming_node(10.0);
+    balancer.nodes[NodeId(0)].last_outage_at = NOW + 3_000_000;
+    assert_eq!(balancer.slow_start(NOW + 3_500_000, NodeId(0)).map(|slow_start| slow_start.since), Some(NOW));
+}
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -21,7 +21,7 @@
 pub use candidate::{Candidate, Choice, LimitCheck, Preference};
 pub use discovery_state::DiscoveryState;
 pub use fleet_statistics::FleetStatistics;
-pub use node::{InFlightAttempt, NodeState, SlowStart};
+pub use node::{ColdEvidence, InFlightAttempt, NodeState, SlowStart};
 pub use node_table::NodeTable;
 pub use observation::{Observation, Silence};
 pub use plan::{Assignment, Plan};
--- a/crates/balancer/src/state/node.rs
+++ b/crates/balancer/src/state/node.rs
@@ -46,6 +46,17 @@
     pub share: f64,
     /// The share by the capacity that it has now.
     pub present_share: f64,
+    /// What shows that it is warming up.
+    pub evidence: ColdEvidence,
+}
+
+/// What shows that a node is warming up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdEvidence {
+    /// The endpoint list names its start.
+    ListedStart,
+    /// It could not be reached: it may have restarted.
+    Outage,
 }
 
 /// What this router knows of a data node.
