Queries that came before SIGTERM are answered before the process is killed

Cause: accept_query gives only queries after the signal a deadline before the kill; one that was there before keeps its own, here 5 s. Ruled out: the margin of 0.1 s before the kill (the rig, with nothing held up, writes nothing either). Mend: shutdown_started tells the balancer by when every open query is to be answered; it limits their deadlines, and the stages end them as they end any other.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -127,6 +127,10 @@
         self.queries.close(query);
     }
 
+    fn shutdown_started(&mut self, _now: Micros, answer_by: Micros) {
+        self.queries.limit_deadlines(answer_by);
+    }
+
     fn timer_expired(&mut self, _now: Micros, _token: u64) {
         self.discovery.timer_at = None;
     }
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -178,6 +178,8 @@
     fn load_reported(&mut self, _now: Micros, _node: NodeId, _report: &LoadReport) {}
     /// The client of a query has disconnected.
     fn client_disconnected(&mut self, now: Micros, query: QueryId);
+    /// The front end ends soon: every open query must be answered by `answer_by`, if its deadline is later.
+    fn shutdown_started(&mut self, now: Micros, answer_by: Micros);
     /// A health check has ended.
     fn health_check_ended(&mut self, _now: Micros, _end: &HealthCheckEnd) {}
     /// A timer set with [`Actions::set_timer`] has expired.
--- a/crates/balancer/src/state/query_table.rs
+++ b/crates/balancer/src/state/query_table.rs
@@ -65,6 +65,15 @@
         &self.open
     }
 
+    /// Lets no open query last longer than this.
+    pub fn limit_deadlines(&mut self, latest: Micros) {
+        for &id in &self.open {
+            let Some(query) = &mut self.queries[id.0] else { continue };
+            query.deadline = query.deadline.min(latest);
+            query.latency_objective = query.latency_objective.min(latest);
+        }
+    }
+
     /// The query of a shard request.
     pub fn query_of(&self, id: ShardRequestId) -> &Query {
         &self[self[id].query]
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -243,6 +243,10 @@
         let longest_deadline = clients.longest_deadline();
         if context.shutdown.begin(&mut context.timers, context.now, longest_deadline) {
             tracing::info!(open_requests = queries.open_count(), "graceful shutdown started");
+            // Guards against queries that came before the signal and whose deadline lies behind the kill.
+            if let Some(answer_by) = context.shutdown.answer_deadline() {
+                self.balancer.shutdown_started(context.now, answer_by);
+            }
         }
     }
 
