Slow start: one place says when a node is held to the window; the test uses the rule's own type

Cause: has_cold_capacity and cold_batch_limit each decided by evidence and equal part; the test had a struct with the four fields of ColdOverloadRule. Change: is_held_to_window decides for both, cold_batch_limit derives the state once and not for each count, the test's struct is gone; its own formula of what is allowed stays, so that the product is not judged by itself. No decision changes.

--- a/crates/balancer/src/policy/slow_start.rs
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -30,30 +30,32 @@
     pub(super) fn has_cold_capacity(&self, now: Micros, id: NodeId, planned: usize, class: usize) -> bool {
         let Some(slow_start) = self.slow_start(now, id) else { return true };
         let fits_window = || self.fits_window(now, id, &slow_start, self.batch_work(planned, class));
-        let has_saved_up = || self.has_saved_up(now, id, &slow_start, class);
-        match slow_start.evidence {
-            // Guards against connections that come up late: most nodes that could not be reached are warm.
-            ColdEvidence::Outage => fits_window() || has_saved_up(),
-            ColdEvidence::ListedStart if self.fits_equal_part(&slow_start, class) => fits_window(),
-            ColdEvidence::ListedStart => has_saved_up(),
+        if self.is_held_to_window(&slow_start, class) {
+            return fits_window();
         }
+        // Guards against connections that come up late: most nodes that could not be reached are warm.
+        slow_start.evidence == ColdEvidence::Outage && fits_window()
+            || self.has_saved_up(now, id, &slow_start, class)
     }
 
-    /// How many more shard requests, at most `wanted`, a batch may carry that has `planned` already.
+    /// How many more shard requests, at most `wanted`, a batch may carry that has `planned` already. Where a batch
+    /// is saved up, its whole work is saved up again before the next one.
     pub(super) fn cold_batch_limit(
         &self, now: Micros, id: NodeId, planned: usize, class: usize, wanted: usize,
     ) -> usize {
-        // Where a batch is saved up, its whole work is saved up again before the next one.
-        let is_limited = |slow_start: SlowStart| {
-            slow_start.evidence == ColdEvidence::ListedStart && self.fits_equal_part(&slow_start, class)
-        };
-        if !self.slow_start(now, id).is_some_and(is_limited) {
-            return wanted;
-        }
-        let fits = |count: &usize| self.has_cold_capacity(now, id, planned + count, class);
+        let slow_start = self.slow_start(now, id).filter(|it| self.is_held_to_window(it, class));
+        let Some(slow_start) = slow_start else { return wanted };
+        let fits =
+            |&count: &usize| self.fits_window(now, id, &slow_start, self.batch_work(planned + count, class));
         (1..=wanted).take_while(fits).count()
     }
 
+    /// Whether a node gets nothing but this router's part of a window: the rule binds where a start is listed, and
+    /// an equal part has to hold a batch at all.
+    fn is_held_to_window(&self, slow_start: &SlowStart, class: usize) -> bool {
+        slow_start.evidence == ColdEvidence::ListedStart && self.fits_equal_part(slow_start, class)
+    }
+
     /// Whether an equal part of what all routers may send in a window holds a batch at all.
     fn fits_equal_part(&self, slow_start: &SlowStart, class: usize) -> bool {
         let window = self.site.cold_overload.window as f64;
--- a/crates/balancer/src/policy/tests/slow_start.rs
+++ b/crates/balancer/src/policy/tests/slow_start.rs
@@ -3,6 +3,7 @@
 
 use super::rig::*;
 use super::*;
+use crate::state::ColdOverloadRule;
 
 /// The mean work of a shard request; each takes between half as much and half as much again.
 const MEAN_WORK: Micros = 8_000;
@@ -13,46 +14,36 @@
 /// The interval at which routers decide.
 const INTERVAL: Micros = 5_000;
 
-/// The rule on nodes that warm up.
-#[derive(Clone, Copy)]
-struct Rule {
-    window: Micros,
-    multiple: f64,
-    initial_capacity: f64,
-    warm_up: Micros,
+/// How many shard requests a node of this age may be sent in a window, with the slack of the terms.
+fn allowed(rule: &ColdOverloadRule, age: Micros) -> f64 {
+    let grown = age as f64 / rule.warm_up as f64;
+    let capacity = rule.initial_capacity + (1.0 - rule.initial_capacity) * grown;
+    let count = rule.multiple * capacity * rule.window as f64 / MEAN_WORK as f64;
+    if count < 30.0 { count + 3.0 * count.sqrt() + 3.0 } else { count + 2.0 * count.sqrt() + 2.0 }
 }
 
-impl Rule {
-    /// How many shard requests a node of this age may be sent in a window, with the slack of the terms.
-    fn allowed(&self, age: Micros) -> f64 {
-        let grown = age as f64 / self.warm_up as f64;
-        let capacity = self.initial_capacity + (1.0 - self.initial_capacity) * grown;
-        let count = self.multiple * capacity * self.window as f64 / MEAN_WORK as f64;
-        if count < 30.0 { count + 3.0 * count.sqrt() + 3.0 } else { count + 2.0 * count.sqrt() + 2.0 }
-    }
-
-    fn settings(&self, routers: usize) -> Settings {
-        let class = ClassSettings {
-            idempotency: Idempotency::Idempotent,
-            latency_objective: Some(1_000_000),
-            deadline: 2_000_000,
-            ..Default::default()
-        };
-        Settings {
-            routers: routers as f64,
-            batch: BatchSettings { max_shard_requests: Some(MAX_SHARD_REQUESTS), work: 0 },
-            limits: LimitSettings { max_attempts: Some(3), ..Default::default() },
-            decision_interval: INTERVAL,
-            rules: RuleSettings {
-                cold_overload_window: self.window,
-                cold_overload_multiple: self.multiple,
-                cold_capacity_share: self.initial_capacity,
-                warm_up: self.warm_up,
-                ..Default::default()
-            },
-            classes: vec![class],
+/// The settings of one of `routers` routers.
+fn settings(rule: &ColdOverloadRule, routers: usize) -> Settings {
+    let class = ClassSettings {
+        idempotency: Idempotency::Idempotent,
+        latency_objective: Some(1_000_000),
+        deadline: 2_000_000,
+        ..Default::default()
+    };
+    Settings {
+        routers: routers as f64,
+        batch: BatchSettings { max_shard_requests: Some(MAX_SHARD_REQUESTS), work: 0 },
+        limits: LimitSettings { max_attempts: Some(3), ..Default::default() },
+        decision_interval: INTERVAL,
+        rules: RuleSettings {
+            cold_overload_window: rule.window,
+            cold_overload_multiple: rule.multiple,
+            cold_capacity_share: rule.initial_capacity,
+            warm_up: rule.warm_up,
             ..Default::default()
-        }
+        },
+        classes: vec![class],
+        ..Default::default()
     }
 }
 
@@ -94,8 +85,8 @@
 }
 
 impl Router {
-    fn new(seed: u64, rule: &Rule, routers: usize, share_of_traffic: f64) -> Router {
-        let mut balancer = Balancer::new(seed, rule.settings(routers));
+    fn new(seed: u64, rule: &ColdOverloadRule, routers: usize, share_of_traffic: f64) -> Router {
+        let mut balancer = Balancer::new(seed, settings(rule, routers));
         balancer.ensure_classes(1);
         let nodes: Vec<_> = (0..NODES).map(|node| (node, EndpointState::Ready, 0)).collect();
         balancer.endpoint_update_started(NOW, EndpointUpdate::Full);
@@ -175,7 +166,7 @@
 
 /// The highest load of a node that warms up, as a multiple of what it may be sent in a window. Each router gets a
 /// share of the traffic by its weight.
-fn peak_load(seed: u64, rule: &Rule, weights: &[f64], traffic: Traffic) -> f64 {
+fn peak_load(seed: u64, rule: &ColdOverloadRule, weights: &[f64], traffic: Traffic) -> f64 {
     let total: f64 = weights.iter().sum();
     let new = |(index, weight): (usize, &f64)| {
         Router::new(seed * 1_000 + index as u64, rule, weights.len(), weight / total)
@@ -196,13 +187,14 @@
     sent.sort_unstable();
     let load = |(last, &at): (usize, &Micros)| {
         let first = sent.partition_point(|&other| other <= at - rule.window);
-        (last + 1 - first) as f64 / rule.allowed(at - restart_at)
+        (last + 1 - first) as f64 / allowed(rule, at - restart_at)
     };
     sent.iter().enumerate().map(load).fold(0.0, f64::max)
 }
 
 /// A rule that allows little, for a window of a second.
-const RULE: Rule = Rule { window: 1_000_000, multiple: 1.5, initial_capacity: 0.2, warm_up: 4_000_000 };
+const RULE: ColdOverloadRule =
+    ColdOverloadRule { window: 1_000_000, multiple: 1.5, initial_capacity: 0.2, warm_up: 4_000_000 };
 /// Nearly all that warm nodes can take.
 const BUSY: Traffic = Traffic { utilization: [0.95, 0.95], restart_after: 14_000_000 };
 /// Twice as much from the restart on.
@@ -262,7 +254,8 @@
 /// A balancer of one of `routers` routers whose node 0 starts now, with batches of four shard requests of 10 ms.
 fn balancer_with_warming_node(routers: f64) -> Balancer {
     let mut balancer = balancer_with(Idempotency::Idempotent, |settings| {
-        *settings = Settings { routers, shards: std::mem::take(&mut settings.shards), ..RULE.settings(1) };
+        *settings =
+            Settings { routers, shards: std::mem::take(&mut settings.shards), ..self::settings(&RULE, 1) };
     });
     balancer.statistics.shard_request_work = Some(10_000);
     update_endpoints(&mut balancer, EndpointUpdate::Incremental, &[(0, EndpointState::Ready, NOW)]);
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -31,5 +31,7 @@
 pub use service_class::{Completeness, ServiceClass};
 pub use shard_map::ShardMap;
 pub use shard_request::{Repeat, ShardRequest};
+#[cfg(test)]
+pub use site_settings::ColdOverloadRule;
 pub use site_settings::SiteSettings;
 pub use sliding_window::SlidingWindow;
