Control plane: shares of more than one request skip the search for surplus grants

Cause: constrained_target walked the grants of all earlier proxies whenever more was granted than the capacity, also for shares that are rounded down and cannot add up to more. Change: only a share of one request is looked at.

--- a/crates/control-plane/src/control_plane/snapshot.rs
+++ b/crates/control-plane/src/control_plane/snapshot.rs
@@ -134,7 +134,8 @@
     ) -> u32 {
         let rule = ScarcityRule::OneForSome;
         let share = self.target(cluster, capacity, rule, proxy_name);
-        if self.ledger.total(cluster) <= capacity as u64 {
+        // Only one request each can be drawn, and only where more is granted than the capacity is one taken back.
+        if share != 1 || self.ledger.total(cluster) <= capacity as u64 {
             return share;
         }
         let earlier = self.ledger.grants(cluster).take_while(|&(other, _)| other < id);
