Soak: a request that is asked again must not have been read; wider bounds only on a machine that waits

Now each request that is asked again, the single ones too, is lost if an attempt for it had come before its client saw the close, which did not check.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -205,6 +205,7 @@
 
     /// Sends a request once more, on a new connection.
     fn ask_again(&mut self, request: &Request) {
+        Record::ClosedUnanswered { at: now(), router: self.router, id: request.id.clone() }.print();
         self.connection = None;
         if !self.connect() {
             return;
--- a/crates/soak/src/judge/answers.rs
+++ b/crates/soak/src/judge/answers.rs
@@ -29,6 +29,7 @@
                 self.add("lost", *at, details);
             }
         }
+        self.check_asked_again(records);
         let mut late = Vec::new();
         for (id, request) in &self.requests {
             let Some((at, status, _)) = request.answer else { continue };
@@ -46,6 +47,26 @@
         }
     }
 
+    /// A request that its client has to send again must not have been read before its connection was closed: an attempt
+    /// by then shows that it was.
+    fn check_asked_again(&mut self, records: &[Record]) {
+        for record in records {
+            let Record::ClosedUnanswered { at, router, id } = record else { continue };
+            let attempts = self.attempts.iter().filter(|attempt| attempt.query == id);
+            let Some(first_at) = attempts.map(|attempt| attempt.at).filter(|first_at| first_at < at).min()
+            else {
+                continue;
+            };
+            if !self.is_excused_by_kill(*router, first_at, *at) {
+                self.add(
+                    "lost",
+                    *at,
+                    format!("{id} of router {router}: closed after it was read, asked again"),
+                );
+            }
+        }
+    }
+
     /// Whether a request on a new connection may have been closed unread: where a crowd fills the descriptors.
     fn may_be_unread(&self, id: &str) -> bool {
         self.cluster.has_crowd() && !self.attempts.iter().any(|attempt| attempt.query == id)
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -25,6 +25,8 @@
     Answered { at: Micros, id: String, status: u16, body: String },
     /// A connection ended before the answer to a request.
     Lost { at: Micros, id: String, is_new_connection: bool, is_timeout: bool },
+    /// A client saw its connection closed before the answer, and sends the request once more.
+    ClosedUnanswered { at: Micros, router: usize, id: String },
     /// A client closed its connection before the answer.
     Left { at: Micros, id: String },
     /// A client that stopped in the middle of a request was answered or closed after this time, or gave up.
@@ -44,6 +46,7 @@
             | Record::Asked { id, .. }
             | Record::Answered { id, .. }
             | Record::Lost { id, .. }
+            | Record::ClosedUnanswered { id, .. }
             | Record::Left { id, .. }
             | Record::SentAfterAnswer { id, .. } => Some(id),
         }
--- a/crates/soak/src/stall.rs
+++ b/crates/soak/src/stall.rs
@@ -27,13 +27,16 @@
     })
 }
 
-/// Whether more threads of the machine want to run than it has processors, so that some have to wait.
+/// How many threads for each processor want to run on a machine whose threads have to wait for long.
+const BUSY_THREADS_PER_PROCESSOR: usize = 2;
+
+/// Whether so many threads of the machine want to run that some have to wait for long.
 pub fn is_machine_busy() -> bool {
     let Ok(statistics) = std::fs::read_to_string("/proc/stat") else { return false };
     let running =
         statistics.lines().find_map(|line| line.strip_prefix("procs_running ")?.trim().parse().ok());
     let processors = std::thread::available_parallelism().map_or(1, usize::from);
-    running.is_some_and(|running: usize| running > processors)
+    running.is_some_and(|running: usize| running > BUSY_THREADS_PER_PROCESSOR * processors)
 }
 
 /// Watches this process and prints its stalls.
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -15,6 +15,8 @@
 const FRONT_DELAY_MS: i64 = 300;
 /// When a router is killed after it was told to end, beyond the longest deadline (3 s at most).
 const KILL_DELAY_MS: i64 = 700;
+/// The longest deadline counts as no more than this.
+const MAX_COUNTED_DEADLINE_MS: i64 = 3000;
 /// When SIGTERM is sent: it comes more than once.
 const TERMINATE_DELAYS_MS: [i64; 3] = [0, 60, 250];
 /// When a reload and a look at the counters follow the first of them.
@@ -26,6 +28,11 @@
 /// For how long a call or a process is held up.
 const HOLD_UP_MS: u64 = 80;
 
+/// How long after SIGTERM a router is killed: as soon as the terms allow it.
+fn kill_delay_ms() -> i64 {
+    KILL_DELAY_MS + longest_deadline_ms().min(MAX_COUNTED_DEADLINE_MS)
+}
+
 /// Something that is done to the cluster.
 #[derive(Clone, Copy, Debug)]
 enum Action {
@@ -200,16 +207,13 @@
                     self.after(delay, Action::Terminate(router, generation));
                 }
                 if self.rng.u32(0..3) == 0 {
-                    self.hang_all_nodes(cluster, KILL_DELAY_MS + longest_deadline_ms().min(3000));
+                    self.hang_all_nodes(cluster, kill_delay_ms());
                 }
                 self.after(SIGNAL_SPACING_MS, Action::Reload(router));
                 self.after(SIGNAL_SPACING_MS, Action::PrintCounters(router));
                 self.after(FRONT_DELAY_MS, Action::CloseFront(router));
-                self.after(
-                    KILL_DELAY_MS + longest_deadline_ms().min(3000),
-                    Action::KillTerminated(router, generation),
-                );
-                self.after(KILL_DELAY_MS + longest_deadline_ms().min(3000) + 50, Action::StartRouter(router));
+                self.after(kill_delay_ms(), Action::KillTerminated(router, generation));
+                self.after(kill_delay_ms() + 50, Action::StartRouter(router));
             }
             2 => {
                 self.after(0, Action::KillRouter(router));
