--- a/crates/balancer/src/policy/slow_start.rs
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -39,7 +39,7 @@
     }
 
     /// How many more shard requests, at most `wanted`, a batch may carry that has `planned` already. Where a batch
-    /// is saved up, its whole work is saved up again before the next one.
+    /// is saved up, all of its work is saved up again before the next one.
     pub(super) fn cold_batch_limit(
         &self, now: Micros, id: NodeId, planned: usize, class: usize, wanted: usize,
     ) -> usize {
--- a/crates/balancer/src/policy/tests/slow_start.rs
+++ b/crates/balancer/src/policy/tests/slow_start.rs
@@ -213,7 +213,7 @@
 }
 
 /// What happens: routers together send a node that warms up more than the rule allows, on a simulated clock up to 1.34
-/// times as much. Why: each assigned up to a whole batch once a single shard request fitted, and sent what it had saved
+/// times as much. Why: each assigned up to a full batch once a single shard request fitted, and sent what it had saved
 /// up on top of its part of the window. The log of a soak run (seed 101) showed it: "sent 136038 allowance 86166" and
 /// "planned 1" at each decision, while batches of up to four followed.
 #[test]
@@ -292,7 +292,7 @@
 }
 
 #[test]
-fn among_many_routers_the_whole_last_batch_is_saved_up_again_before_the_next_one() {
+fn among_many_routers_all_of_the_last_batch_is_saved_up_again_before_the_next_one() {
     let mut balancer = balancer_with_warming_node(100.0);
     balancer.statistics.mean_work_rate = 0.1;
     balancer.nodes[NodeId(0)].work_sent.push_times(NOW + 1, 10_000.0, 4);
