Log why requests to discovery fail and which list attempts are sent by

The record of the incident could not tell which calls failed for what reason, when a router had which revision, and by which list an attempt was sent. A failed request now logs connection, reason, duration, revision and the age of the list; an applied list logs its revisions and the number of ready nodes; a stopped send logs for how long its node was not ready; with level debug each attempt logs the revision and the age of the list. Counters: endpoint_list_revision, discovery_requests_unavailable, discovery_requests_timed_out.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -106,12 +106,18 @@
     endpoint_lists_invalid,
     /// Endpoint lists that were skipped because a newer revision was already applied.
     endpoint_lists_stale,
+    /// The revision of the last endpoint list or update that was applied.
+    endpoint_list_revision,
     /// Watches that were restarted because no complete message followed the previous one in time.
     endpoint_watches_silent,
     /// Polls and watches that were started.
     discovery_requests,
     /// Polls and watches that failed.
     discovery_failures,
+    /// Polls and watches that failed because discovery responded with a status other than 200.
+    discovery_requests_unavailable,
+    /// Polls and watches that failed because no complete message arrived in time.
+    discovery_requests_timed_out,
     /// The highest number of connections open at the same time.
     sockets_peak,
     /// Decisions made by the balancer.
--- a/crates/query-router/src/router/connection/discovery.rs
+++ b/crates/query-router/src/router/connection/discovery.rs
@@ -40,6 +40,26 @@
     DuplicateId,
 }
 
+/// Why a request to discovery failed.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub enum RequestFailure {
+    /// The connection was never established.
+    #[error("connection not established")]
+    NotConnected,
+    /// The connection ended before a complete response, or the response of a watch ended.
+    #[error("connection ended")]
+    ConnectionEnded,
+    /// Discovery responded with this status, which is not 200: it is unavailable or overloaded.
+    #[error("status {0}")]
+    Unavailable(u16),
+    /// The response is malformed or invalid.
+    #[error("invalid response")]
+    InvalidResponse,
+    /// No complete message arrived in time.
+    #[error("timed out")]
+    TimedOut,
+}
+
 /// The kind of a request to discovery.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RequestKind {
@@ -105,6 +125,12 @@
 pub struct DiscoveryRequest {
     /// The kind of the request.
     pub kind: RequestKind,
+    /// The time at which the request was made.
+    started_at: Micros,
+    /// Whether the connection was established.
+    is_established: bool,
+    /// The status of the response; `None` until its head was received.
+    status: Option<u16>,
     /// The time from the `Date` header until [`DiscoveryRequest::take_date`] removes it.
     date: Option<Micros>,
     /// The framing of the body; `None` until the head of a successful response was received.
@@ -132,6 +158,9 @@
     pub fn new(kind: RequestKind, now: Micros) -> DiscoveryRequest {
         DiscoveryRequest {
             kind,
+            started_at: now,
+            is_established: false,
+            status: None,
             date: None,
             framing: None,
             chunks: ChunkedDecoder::new(MAX_ENDPOINT_LIST_BYTES),
@@ -153,6 +182,7 @@
             let Some(head) = http::parse_response_head(bytes)? else {
                 return Ok(ResponseRead { consumed: 0, progress: BodyProgress::Incomplete });
             };
+            self.status = Some(head.status);
             // Discovery is unavailable or overloaded. The body is discarded, and the request fails because `framing`
             // remains `None`.
             if head.status != 200 {
@@ -169,6 +199,25 @@
         Ok(ResponseRead { consumed: consumed + body.consumed, progress: body.progress })
     }
 
+    /// Records that the connection is established.
+    pub fn set_established(&mut self) {
+        self.is_established = true;
+    }
+
+    /// Returns the time at which the request was made.
+    pub fn started_at(&self) -> Micros {
+        self.started_at
+    }
+
+    /// Returns why the request has failed if its connection or its response has ended.
+    pub fn failure_at_end(&self) -> RequestFailure {
+        match self.status {
+            Some(status) if self.framing.is_none() => RequestFailure::Unavailable(status),
+            _ if self.is_established => RequestFailure::ConnectionEnded,
+            _ => RequestFailure::NotConnected,
+        }
+    }
+
     /// Removes and returns the time from the `Date` header of the response.
     pub fn take_date(&mut self) -> Option<Micros> {
         self.date.take()
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -6,8 +6,8 @@
 use crate::io::{ConnectionId, Effect};
 use crate::router::connection::Connection;
 use crate::router::connection::discovery::{
-    DiscoveryError, DiscoveryRequest, EndpointList, HEARTBEAT_INTERVAL, RequestKind, ResponseRead,
-    WatchMessage, WatchUpdate, parse_update,
+    DiscoveryError, DiscoveryRequest, EndpointList, HEARTBEAT_INTERVAL, RequestFailure, RequestKind,
+    ResponseRead, WatchMessage, WatchUpdate, parse_update,
 };
 use crate::router::context::Context;
 use backoff::WatchBackoff;
@@ -34,7 +34,8 @@
 pub struct Discovery {
     address: SocketAddr,
     mode: DiscoveryMode,
-    /// The revision of the last update that was applied; 0 after a change of the address.
+    /// The revision after which a watch requests updates: that of the last update that was applied; 0 after a change of
+    /// the address.
     revision: u64,
     watch: Option<ConnectionId>,
     backoff: WatchBackoff,
@@ -128,6 +129,7 @@
 
     /// Handles that a connection is established: sends the request.
     pub fn established(&self, context: &mut Context, id: ConnectionId) {
+        context.connections.discovery_mut(id).set_established();
         let (address, revision) = (self.address, self.revision);
         let query = match context.connections.discovery_mut(id).kind {
             RequestKind::Watch => format!("?watch=1&after={revision}"),
@@ -161,6 +163,7 @@
         }
         while let Some(message) = request.next_message()? {
             let is_first = request.record_message(context.now);
+            context.endpoints.confirm(context.now);
             if is_first {
                 self.backoff.reset();
             }
@@ -207,9 +210,15 @@
     /// Handles the end of a connection or the end of its response.
     pub fn ended(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
         match context.connections.discovery_mut(id).polled_list() {
-            Some(Ok(list)) => RequestOutcome::List(list),
+            Some(Ok(list)) => {
+                context.endpoints.confirm(context.now);
+                RequestOutcome::List(list)
+            }
             Some(Err(error)) => self.reject_response(context, id, &error),
-            None => self.fail_request(context, id),
+            None => {
+                let failure = context.connections.discovery_mut(id).failure_at_end();
+                self.fail_request(context, id, failure)
+            }
         }
     }
 
@@ -218,8 +227,8 @@
         &mut self, context: &mut Context, id: ConnectionId, error: &DiscoveryError,
     ) -> RequestOutcome {
         context.counters.endpoint_lists_invalid += 1;
-        tracing::warn!(%error, "discovery response rejected");
-        self.fail_request(context, id)
+        tracing::warn!(connection = id.0, %error, "discovery response rejected");
+        self.fail_request(context, id, RequestFailure::InvalidResponse)
     }
 
     /// Handles the timeout of a request. A watch that had received messages is restarted at once. The balancer gets a
@@ -227,20 +236,24 @@
     /// fails and is restarted after a short delay, whatever the balancer decides.
     pub fn timed_out(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
         if self.watch != Some(id) {
-            return self.fail_request(context, id);
+            return self.fail_request(context, id, RequestFailure::TimedOut);
         }
         if !context.connections.discovery_mut(id).has_received_message() {
-            let outcome = self.fail_request(context, id);
+            let outcome = self.fail_request(context, id, RequestFailure::TimedOut);
             self.backoff.schedule_after_silence(context);
             return outcome;
         }
-        tracing::info!("endpoint watch timed out without a message; restarted");
+        let (revision, list_age_ms) = (self.revision, context.endpoints.list_age_ms(context.now));
+        tracing::info!(connection = id.0, revision, list_age_ms, "endpoint watch timed out; restarted");
         context.counters.endpoint_watches_silent += 1;
         self.start_watch(context);
         RequestOutcome::WatchRestarted
     }
 
-    fn fail_request(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
+    fn fail_request(
+        &mut self, context: &mut Context, id: ConnectionId, failure: RequestFailure,
+    ) -> RequestOutcome {
+        self.log_failure(context, id, failure);
         if self.watch == Some(id) {
             self.watch = None;
         }
@@ -249,6 +262,25 @@
         RequestOutcome::Failed
     }
 
+    fn log_failure(&self, context: &mut Context, id: ConnectionId, failure: RequestFailure) {
+        match failure {
+            RequestFailure::Unavailable(_) => context.counters.discovery_requests_unavailable += 1,
+            RequestFailure::TimedOut => context.counters.discovery_requests_timed_out += 1,
+            _ => {}
+        }
+        let now = context.now;
+        let request = context.connections.discovery_mut(id);
+        tracing::info!(
+            connection = id.0,
+            kind = ?request.kind,
+            reason = %failure,
+            after_ms = (now - request.started_at()) / 1000,
+            revision = self.revision,
+            list_age_ms = context.endpoints.list_age_ms(now),
+            "discovery request failed"
+        );
+    }
+
     /// Handles the failure of a request: schedules the next watch if endpoint lists are pushed and there is no watch.
     pub fn handle_failure(&mut self, context: &mut Context) {
         context.counters.discovery_failures += 1;
@@ -259,7 +291,8 @@
 
     /// Stores an endpoint list or update. Returns its valid entries for the balancer.
     pub fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
-        self.revision = list.json["revision"].as_u64().unwrap_or(self.revision);
+        let revision = list.json["revision"].as_u64();
+        self.revision = revision.unwrap_or(self.revision);
         context.endpoints.start_update();
         match list.update {
             EndpointUpdate::Incremental => context.counters.endpoint_lists_incremental += 1,
@@ -268,11 +301,14 @@
         let members = list.json["members"].as_array().map_or(&[][..], Vec::as_slice);
         let stored = members.iter().filter_map(|member| self.store_entry(context, member)).collect();
         if list.update != EndpointUpdate::Incremental {
-            context.endpoints.finish_full_update();
+            context.endpoints.finish_full_update(context.now);
         }
         if list.update != EndpointUpdate::Cached {
             context.endpoints.finish_received_update(context.now);
         }
+        if let Some(revision) = revision {
+            record_applied(context, revision, list.update, members.len());
+        }
         stored
     }
 
@@ -293,3 +329,12 @@
         })
     }
 }
+
+/// Records and logs that an endpoint list or update was applied.
+fn record_applied(context: &mut Context, revision: u64, update: EndpointUpdate, entries: usize) {
+    let previous_revision = context.endpoints.revision();
+    context.endpoints.set_revision(revision);
+    context.counters.endpoint_list_revision = revision;
+    let ready = context.endpoints.ready_count();
+    tracing::info!(revision, previous_revision, kind = ?update, entries, ready, "endpoint list applied");
+}
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -13,6 +13,8 @@
     pub address: Option<SocketAddr>,
     /// Whether the node is in the endpoint state ready, so that new attempts may be sent.
     pub ready: bool,
+    /// The time since which the node is not ready; `None` while it is ready or was never listed.
+    not_ready_since: Option<Micros>,
     /// The start time of the node's process; `None` until an endpoint update has listed the node.
     start: Option<NodeStart>,
     /// The number of the last update that listed the node.
@@ -30,6 +32,19 @@
     pub fn started_at(&self) -> Micros {
         self.start.map_or(0, |start| start.started_at())
     }
+
+    /// Returns the time since which the node is not ready; `None` while it is ready or was never listed.
+    pub fn not_ready_since(&self) -> Option<Micros> {
+        self.not_ready_since
+    }
+
+    /// Sets whether the node is ready. Returns whether that is a change.
+    fn set_ready(&mut self, now: Micros, ready: bool) -> bool {
+        let changed = self.ready != ready;
+        self.ready = ready;
+        self.not_ready_since = if ready { None } else { self.not_ready_since.or(Some(now)) };
+        changed
+    }
 }
 
 /// The records of all endpoints, by node.
@@ -39,9 +54,33 @@
     ids: IdInterner<String>,
     start_times: StartTimes,
     update_number: u64,
+    /// The revision of the last update that was applied; 0 before the first.
+    revision: u64,
+    /// The time of the last message of discovery that brought or confirmed the list; `None` before the first.
+    confirmed_at: Option<Micros>,
 }
 
 impl Endpoints {
+    /// Returns the revision of the last update that was applied; 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Records the revision of an update that is applied.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Records that discovery has brought or confirmed the list at `now`.
+    pub fn confirm(&mut self, now: Micros) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Returns the milliseconds since discovery last brought or confirmed the list; `None` if it never did.
+    pub fn list_age_ms(&self, now: Micros) -> Option<Micros> {
+        self.confirmed_at.map(|at| (now - at) / 1000)
+    }
+
     /// Starts an endpoint update.
     pub fn start_update(&mut self) {
         self.update_number += 1;
@@ -55,7 +94,9 @@
         }
         let record = &mut self.records[index];
         record.address = entry.address.parse().ok();
-        record.ready = entry.state == EndpointState::Ready;
+        if record.set_ready(now, entry.state == EndpointState::Ready) {
+            tracing::debug!(node = index, id = %entry.id, state = ?entry.state, "endpoint state changed");
+        }
         record.start = Some(self.start_times.convert(now, entry.reported_start, record.start));
         record.last_update = self.update_number;
         record.released = false;
@@ -73,9 +114,11 @@
     }
 
     /// Ends a full update: endpoints that it does not list are no longer ready.
-    pub fn finish_full_update(&mut self) {
-        for record in &mut self.records {
-            record.ready &= record.last_update == self.update_number;
+    pub fn finish_full_update(&mut self, now: Micros) {
+        for (node, record) in self.records.iter_mut().enumerate() {
+            if record.set_ready(now, record.ready && record.last_update == self.update_number) {
+                tracing::debug!(node, "endpoint no longer listed");
+            }
         }
     }
 
--- a/crates/query-router/src/router/node_connections/write.rs
+++ b/crates/query-router/src/router/node_connections/write.rs
@@ -48,6 +48,7 @@
     buffers.push(Rc::from([]));
     let kind = match &frame {
         OutgoingFrame::Batch(attempts) => {
+            log_sent(context, queries, id, attempts);
             encode_attempts(queries, attempts, context.now, buffers);
             context.counters.batches_sent += 1;
             context.counters.attempts_sent += attempts.len() as u64;
@@ -78,6 +79,22 @@
     }
 }
 
+/// Logs which attempts are sent to which node, and what is known of the endpoint list at that moment.
+fn log_sent(context: &mut Context, queries: &QueryTable, id: ConnectionId, attempts: &[AttemptId]) {
+    let node = context.connections.node_mut(id).node;
+    for attempt in attempts {
+        tracing::debug!(
+            id = %queries.shard_request(attempt.shard_request).id,
+            attempt = attempt.number.0,
+            node = node.0,
+            connection = id.0,
+            revision = context.endpoints.revision(),
+            list_age_ms = context.endpoints.list_age_ms(context.now),
+            "attempt sent"
+        );
+    }
+}
+
 /// Ends queued attempts whose deadline has passed as not sent. Sockets are read before timers expire, so such attempts
 /// would otherwise be sent and time out in the same event-loop iteration.
 fn cancel_expired(context: &mut Context, queries: &mut QueryTable, id: ConnectionId) {
@@ -105,8 +122,13 @@
         let (request, query) = queries.request_and_query(attempt.shard_request);
         let state = &request.attempts[attempt.number.0];
         let allowed = rules::may_send(context.now, query, request, state, endpoint, connection);
-        let node = Some(connection.node);
-        let checked = CheckedAction { action: "send attempt", id: &request.id, node, connection: Some(id) };
+        let checked = CheckedAction {
+            action: "send attempt",
+            id: &request.id,
+            node: Some(connection.node),
+            connection: Some(id),
+            not_ready_for: endpoint.not_ready_since().map(|since| context.now - since),
+        };
         if !rules::permitted(&mut context.counters, checked, allowed) {
             forbidden.push(attempt);
         }
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -167,8 +167,12 @@
         let now = context.now;
         let entry = &mut self.shard_requests[request.0];
         let query = &self.queries[entry.query.0];
-        let checked =
-            CheckedAction { action: "start attempt", id: &entry.id, node: Some(node), connection: None };
+        let checked = CheckedAction {
+            action: "start attempt",
+            id: &entry.id,
+            node: Some(node),
+            ..CheckedAction::default()
+        };
         let is_permitted = rules::permitted(&mut context.counters, checked, rules::may_start(query, entry));
         count_repeated_attempt(context, entry, node);
         let deadline = timeout.map_or(query.deadline, |timeout| query.deadline.min(now + timeout));
--- a/crates/query-router/src/router/rules.rs
+++ b/crates/query-router/src/router/rules.rs
@@ -106,6 +106,8 @@
     pub node: Option<NodeId>,
     /// The connection of the action; `None` if no connection is selected yet.
     pub connection: Option<ConnectionId>,
+    /// The time for which the node of the attempt has not been ready; `None` if it is ready or of no concern.
+    pub not_ready_for: Option<Micros>,
 }
 
 /// Returns whether the check succeeded; counts and logs the violation if it failed.
@@ -117,6 +119,7 @@
         id = checked.id,
         node = checked.node.map(|node| node.0),
         connection = checked.connection.map(|connection| connection.0),
+        not_ready_ms = checked.not_ready_for.map(|span| span / 1000),
         %violation,
         "rule violated"
     );
