--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -335,6 +335,10 @@
     let previous_revision = context.endpoints.revision();
     context.endpoints.set_revision(revision);
     context.counters.endpoint_list_revision = revision;
+    // The list of the configuration is no message of discovery, and is applied before the router has started.
+    if update == EndpointUpdate::Cached {
+        return;
+    }
     let ready = context.endpoints.ready_count();
     tracing::info!(revision, previous_revision, kind = ?update, entries, ready, "endpoint list applied");
 }
