Failing test: a drain is learned too late after a reload whose first requests fail

Reproduces the incident with real processes: discovery fails three times, SIGHUP moves it, and the new address answers two requests with status 503 before it sends the list with the drain. The test discovery can fail the next requests and write watches in pieces.

--- a/crates/cli/tests/loopback/main.rs
+++ b/crates/cli/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 //! unless a test forces them.
 
 mod discovery;
+mod drains;
 mod node_connections;
 mod resource_limits;
 mod rig;
--- a/crates/cli/tests/loopback/rig/mod.rs
+++ b/crates/cli/tests/loopback/rig/mod.rs
@@ -6,6 +6,8 @@
 mod data_node;
 mod discovery;
 mod faulty_router;
+mod query_stream;
+mod recording_node;
 mod router_process;
 
 pub use client::{Client, query};
@@ -13,6 +15,8 @@
 pub use data_node::{DataNode, FullBacklogNode, frame};
 pub use discovery::ScriptedDiscovery;
 pub use faulty_router::FaultyRouter;
+pub use query_stream::QueryStream;
+pub use recording_node::RecordingNode;
 pub use router_process::RouterProcess;
 
 use data_node::accept;
@@ -61,6 +65,6 @@
 }
 
 /// Returns the path of the configuration file for a test.
-fn config_path(test_name: &str) -> PathBuf {
+pub fn config_path(test_name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("yewpier-{test_name}-{}.json", std::process::id()))
 }
--- a/crates/cli/tests/loopback/rig/router_process.rs
+++ b/crates/cli/tests/loopback/rig/router_process.rs
@@ -18,11 +18,25 @@
 impl RouterProcess {
     /// Starts a router with this configuration and waits until it listens. The configuration file is removed then.
     pub fn start(test_name: &str, config: &Json) -> RouterProcess {
+        let router = RouterProcess::start_reloadable(test_name, config);
+        std::fs::remove_file(config_path(test_name)).expect("the configuration file can be removed");
+        router
+    }
+
+    /// Replaces the configuration of a router that was started by [`RouterProcess::start_reloadable`], and sends
+    /// SIGHUP.
+    pub fn reload(&self, test_name: &str, config: &Json) {
+        std::fs::write(config_path(test_name), config.to_string())
+            .expect("the configuration file can be written");
+        self.signal(Signal::HUP);
+    }
+
+    /// Like [`RouterProcess::start`], but keeps the configuration file for [`RouterProcess::reload`].
+    pub fn start_reloadable(test_name: &str, config: &Json) -> RouterProcess {
         let path = config_path(test_name);
         std::fs::write(&path, config.to_string()).expect("the configuration file can be written");
         let mut router = RouterProcess::spawn(path.to_str().expect("a path in UTF-8"));
         router.wait_until_listening();
-        std::fs::remove_file(&path).expect("the configuration file can be removed");
         router
     }
 
--- a/crates/test-servers/src/discovery.rs
+++ b/crates/test-servers/src/discovery.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::Duration;
 
 /// A discovery server; clones share its state.
 #[derive(Clone)]
@@ -32,12 +33,26 @@
     updates: Vec<Update>,
     /// Whether the server is down: requests fail and watches end.
     is_down: bool,
+    /// The number of further requests that fail although the server is not down.
+    failures_left: u64,
+    /// How the bodies of watches are written.
+    pace: WatchPace,
     /// The number of requests received, including those that failed.
     requests: u64,
     /// The number of updates written to watches.
     updates_sent: u64,
 }
 
+/// How the body of a watch is written.
+#[derive(Clone, Copy, Debug, Default)]
+pub enum WatchPace {
+    /// Each message at once.
+    #[default]
+    Immediate,
+    /// Each message in pieces of this many bytes, with a pause after each piece.
+    Pieces(usize, Duration),
+}
+
 /// The entries of the endpoint list that changed at a revision.
 #[derive(Clone)]
 struct Update {
@@ -115,6 +130,16 @@
         self.shared.modify(|state| state.is_down = is_down);
     }
 
+    /// Lets the next `count` requests fail with status 503.
+    pub fn fail_next(&self, count: u64) {
+        self.shared.modify(|state| state.failures_left = count);
+    }
+
+    /// Sets how the messages of watches are written from now on.
+    pub fn set_pace(&self, pace: WatchPace) {
+        self.shared.modify(|state| state.pace = pace);
+    }
+
     /// Returns the number of updates written to watches.
     pub fn updates_sent(&self) -> u64 {
         self.shared.lock().updates_sent
--- a/crates/test-servers/src/discovery/connection.rs
+++ b/crates/test-servers/src/discovery/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to the discovery server, which serves one request.
 
-use super::{Shared, State, Update};
+use super::{Shared, State, Update, WatchPace};
 use serde_json::{Value as Json, json};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::TcpStream;
@@ -15,7 +15,9 @@
     let request = lines.next().unwrap_or(Ok(String::new()))?;
     let mut state = shared.lock();
     state.requests += 1;
-    if state.is_down {
+    let fails = state.failures_left > 0;
+    state.failures_left = state.failures_left.saturating_sub(1);
+    if state.is_down || fails {
         return write!(stream, "HTTP/1.1 503 Down\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     }
     let Some(revision) = watched_revision(&request) else {
@@ -105,6 +107,15 @@
     }
 
     fn write_chunk(&mut self, text: &str) -> io::Result<()> {
-        write!(self.stream, "{:x}\r\n{text}\r\n", text.len())
+        let pace = self.shared.lock().pace;
+        let WatchPace::Pieces(length, pause) = pace else {
+            return write!(self.stream, "{:x}\r\n{text}\r\n", text.len());
+        };
+        for piece in text.as_bytes().chunks(length) {
+            let size = piece.len();
+            self.stream.write_all(&[format!("{size:x}\r\n").as_bytes(), piece, b"\r\n"].concat())?;
+            std::thread::sleep(pause);
+        }
+        Ok(())
     }
 }
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -16,7 +16,7 @@
 mod xds_messages;
 
 pub use data_node::data_node;
-pub use discovery::{Discovery, member};
+pub use discovery::{Discovery, WatchPace, member};
 pub use listener::listen;
 pub use load_reporter::{EndpointLoad, LoadReportStream};
 pub use proxy::{Proxy, request_unknown_type};
