Requests to discovery are repeated soon enough for drains to arrive in time

Callers saw requests routed to draining and removed nodes after the grace period. Cause: after a failed request a router that polls waited 2 to 4.5 s before the next one, and failures at a former address of discovery counted for a new one; 4 s after a reload and 6 s otherwise a change counts as delivered, so one or two more failures used all of that time.

The delay is now 0.5 to 1 s after the first failure and at most 1 to 2 s, by the time for which requests have failed, and starts anew when the address changes; three requests fit into each of the times above.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -99,6 +99,10 @@
         self.shards.rebuild(&self.nodes);
     }
 
+    fn discovery_address_changed(&mut self, now: Micros) {
+        self.restart_requests(now);
+    }
+
     fn query_arrived(&mut self, now: Micros, arrival: &QueryArrival) {
         self.ensure_classes(arrival.class + 1);
         self.enqueue(now, arrival);
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -169,6 +169,8 @@
     fn endpoint_listed(&mut self, now: Micros, endpoint: &Endpoint);
     /// The current endpoint update is complete and takes effect.
     fn endpoint_update_finished(&mut self, now: Micros, actions: &mut dyn Actions);
+    /// Discovery has another address from now on, at which the front end has requested the endpoint list.
+    fn discovery_address_changed(&mut self, now: Micros);
     /// A query has arrived; its shard requests follow before the next [`decide`](Events::decide).
     fn query_arrived(&mut self, now: Micros, arrival: &QueryArrival);
     /// A shard request of a reported query has arrived.
--- a/crates/balancer/src/policy/discovery.rs
+++ b/crates/balancer/src/policy/discovery.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+/// Longest delay of the first request after a failure, in microseconds; the shortest is half of it.
+const MIN_BACKOFF: Micros = 1_000_000;
+/// Longest delay of a request after failures, in microseconds. A change counts as delivered 4 s after a change of
+/// discovery's address and 6 s after discovery has recovered, so several requests must fit into that time.
+const MAX_BACKOFF: Micros = 2_000_000;
+/// Shortest interval between requests that are neither answered nor fail, in microseconds.
+const MIN_REQUEST_INTERVAL: Micros = 1_000_000;
+
 impl Balancer {
     /// Counts the restart of a node as a crash if its process started within half of `CRASH_WINDOW`.
     pub(crate) fn observe_restart(&mut self, now: Micros, started_at: Micros) {
@@ -10,31 +18,48 @@
         }
     }
 
-    /// Delays the next request for the endpoint list after a failure, with exponential backoff and jitter. Endpoint
-    /// changes must be known 6 s after discovery has recovered, so no delay is much longer than two thirds of that.
+    /// Delays the next request for the endpoint list after a failure. The delay grows with the time for which
+    /// requests have failed, and has jitter.
     pub(crate) fn delay_next_request(&mut self, now: Micros, actions: &mut dyn Actions) {
         let discovery = &mut self.discovery;
         discovery.watching = false;
-        discovery.failures = (discovery.failures + 1).min(3);
-        let delay = 500_000 << discovery.failures;
-        discovery.next_request_at = now + delay / 2 + self.random.i64(0..delay / 2 + delay / 8);
+        let failing_for = now - *discovery.failing_since.get_or_insert(now);
+        let max_delay = failing_for.clamp(MIN_BACKOFF, MAX_BACKOFF);
+        discovery.next_request_at = now + max_delay / 2 + self.random.i64(0..=max_delay / 2);
         let milliseconds = (discovery.next_request_at - now) / 1000;
         actions.log(&format!("discovery unreachable, next request in {milliseconds} ms"));
     }
 
+    /// Discards what failures at a former address of discovery have delayed. The front end requests the list at the
+    /// new address by itself.
+    pub(crate) fn restart_requests(&mut self, now: Micros) {
+        let request_interval = self.request_interval();
+        let discovery = &mut self.discovery;
+        discovery.watching = false;
+        discovery.failing_since = None;
+        discovery.next_request_at = now + request_interval;
+    }
+
+    /// Returns the time from a request for the endpoint list to the next one if the first is neither answered nor
+    /// fails.
+    fn request_interval(&self) -> Micros {
+        self.deployment.poll_interval.unwrap_or(0).max(MIN_REQUEST_INTERVAL)
+    }
+
     /// Where discovery must be polled, requests the endpoint list until the watch on it is active. Keeps a timer set
     /// during that time and while a query is open.
     pub(super) fn schedule(&mut self, now: Micros, actions: &mut dyn Actions) {
         let has_open_queries = !self.queries.open().is_empty();
+        let request_interval = self.request_interval();
         let discovery = &mut self.discovery;
-        let poll_interval = self.deployment.poll_interval.filter(|_| !discovery.watching);
-        if let Some(interval) = poll_interval.filter(|_| now >= discovery.next_request_at) {
+        let must_request = self.deployment.poll_interval.is_some() && !discovery.watching;
+        if must_request && now >= discovery.next_request_at {
             actions.watch_endpoints(true);
-            discovery.next_request_at = now + interval.max(1_000_000);
+            discovery.next_request_at = now + request_interval;
         }
         let next = now + self.deployment.decision_interval.max(1_000);
         let expires_at = if has_open_queries { next } else { discovery.next_request_at.max(next) };
-        let is_needed = poll_interval.is_some() || has_open_queries;
+        let is_needed = must_request || has_open_queries;
         if is_needed && discovery.timer_at.is_none_or(|expiry| expiry > expires_at || expiry <= now) {
             actions.set_timer(expires_at - now, 0);
             discovery.timer_at = Some(expires_at);
--- a/crates/balancer/src/policy/tests/discovery.rs
+++ b/crates/balancer/src/policy/tests/discovery.rs
@@ -52,3 +52,34 @@
     update_endpoints(&mut balancer, EndpointUpdate::Incremental, &[(0, EndpointState::Draining, 0)]);
     assert!(decide(&mut balancer, NOW).is_empty());
 }
+
+/// Returns the time from a failed request for the endpoint list to the next request.
+fn delay_after_failure(balancer: &mut Balancer, now: Micros) -> Micros {
+    balancer.endpoint_update_started(now, EndpointUpdate::Failed);
+    balancer.endpoint_update_finished(now, &mut Recorder::default());
+    let is_request = |at: &Micros| decide(balancer, *at).contains(&"watch true".to_string());
+    (now..).step_by(10_000).find(is_request).expect("a further request") - now
+}
+
+/// Guards against drains that are learned too late: 4 s after a change of the address and 6 s after discovery has
+/// recovered, three requests must have been made, so that two of them may fail.
+#[test]
+fn three_requests_for_a_polled_list_fit_into_the_time_in_which_a_change_counts_as_delivered() {
+    for failures in 0..6 {
+        let mut balancer = balancer(Idempotency::Idempotent);
+        balancer.deployment.poll_interval = Some(10_000_000);
+        assert_eq!(decide(&mut balancer, NOW), ["watch true"]);
+        let mut now = NOW;
+        for _ in 0..failures {
+            now += delay_after_failure(&mut balancer, now);
+        }
+        let after_recovery =
+            delay_after_failure(&mut balancer, now) + delay_after_failure(&mut balancer, now + 2_000_000);
+        assert!(after_recovery <= 4_020_000, "{after_recovery} us after {failures} failures");
+        now += 5_000_000;
+        balancer.discovery_address_changed(now);
+        let first = delay_after_failure(&mut balancer, now);
+        let second = delay_after_failure(&mut balancer, now + first);
+        assert!(first + second <= 2_100_000, "{first} and {second} us after a change of the address");
+    }
+}
--- a/crates/balancer/src/state/discovery_state.rs
+++ b/crates/balancer/src/state/discovery_state.rs
@@ -14,9 +14,9 @@
     pub watching: bool,
     /// Earliest time of the next request for the endpoint list.
     pub next_request_at: Micros,
-    /// Number of failed updates since the last successful one, up to a maximum that limits the delay of
-    /// requests.
-    pub failures: u32,
+    /// Time of the first failed update since the last successful one or the last change of discovery's address;
+    /// `None` if there was none.
+    pub failing_since: Option<Micros>,
     /// Expiry time of the timer, if it is set.
     pub timer_at: Option<Micros>,
 }
@@ -24,9 +24,9 @@
 impl DiscoveryState {
     /// Records a successful endpoint update; returns whether it is the first one after failures.
     pub fn record_update(&mut self) -> bool {
-        let recovered = !self.watching && self.failures > 0;
+        let recovered = !self.watching && self.failing_since.is_some();
         self.watching = true;
-        self.failures = 0;
+        self.failing_since = None;
         recovered
     }
 }
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -111,10 +111,11 @@
     }
 
     /// Changes the address of discovery. Requests in progress are repeated at the new address, so that no late response
-    /// from the old one overwrites a newer list. Revisions from different addresses are not comparable.
-    pub fn set_address(&mut self, context: &mut Context, address: SocketAddr) {
+    /// from the old one overwrites a newer list. Revisions from different addresses are not comparable. Returns whether
+    /// the address is another one.
+    pub fn set_address(&mut self, context: &mut Context, address: SocketAddr) -> bool {
         if address == self.address {
-            return;
+            return false;
         }
         tracing::info!(from = %self.address, to = %address, "discovery address changed");
         self.address = address;
@@ -125,6 +126,7 @@
             self.poll(context);
         }
         self.start_watch(context);
+        true
     }
 
     /// Handles that a connection is established: sends the request.
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -38,6 +38,7 @@
 use connection::discovery::{BodyProgress, EndpointList};
 use discovery::RequestOutcome;
 use state::State;
+use std::net::SocketAddr;
 use timers::Timer;
 
 /// The router's state machine.
@@ -90,9 +91,7 @@
             Event::PeerClosed(id) => self.closed_by_peer(id),
             Event::Ended { connection: id, written_bytes } => self.ended(id, written_bytes),
             Event::TimerExpired => self.expire_timers(),
-            Event::DiscoveryAddressReloaded(address) => {
-                self.state.discovery.set_address(&mut self.state.context, address)
-            }
+            Event::DiscoveryAddressReloaded(address) => self.set_discovery_address(address),
             Event::Terminate => self.begin_shutdown(),
             Event::ReportCounters => {
                 let lines = self.counters().lines();
@@ -247,6 +246,14 @@
         }
     }
 
+    fn set_discovery_address(&mut self, address: SocketAddr) {
+        let State { context, discovery, .. } = &mut self.state;
+        if discovery.set_address(context, address) {
+            self.balancer.discovery_address_changed(context.now);
+            self.decision_needed = true;
+        }
+    }
+
     /// Starts a graceful shutdown; has no effect if one is in progress.
     fn begin_shutdown(&mut self) {
         let State { context, queries, clients, .. } = &mut self.state;
