A list that arrives slowly is applied, and a request that hangs is joined by another

Callers saw requests at drained nodes for as long as discovery's answers were slow: a response was given up 4 s after the request although bytes kept coming, and the next one began anew; a request that hung delayed the next by 4.6 s, where 4 s are allowed after a reload. Cause: one watch at a time, with one time-out for silence and for slowness. A request now times out 4 s after the last progress (a byte of the list that is no white space, or a message), or 60 s without a complete message; after 1.8 s without one, or 3.25 s without a heartbeat, another watch is opened beside it, three at most and one where descriptors are few, and the first complete message closes the others. The balancer's request for a watch no longer closes one that is under way.

Two tests of the log and of a silent watch looked at the next line and at a counter when the second request came: it comes 0.75 s earlier now and one more line is logged, so they name that line and wait for the counter, with the same values.

--- a/crates/cli/tests/loopback/discovery.rs
+++ b/crates/cli/tests/loopback/discovery.rs
@@ -49,6 +49,9 @@
     // Discovery sends no more bytes and keeps the connection open.
     let (request, _second_watch) = discovery.accept_request();
     assert!(request.contains("watch=1&after=8"), "{request}");
+    // The next watch is opened as soon as a heartbeat is overdue, and the silent one is closed shortly afterwards.
+    assert_eq!(router.counter("endpoint_watches_additional"), 1);
+    router.wait_for_counter("endpoint_watches_silent", 1);
     assert_eq!((router.counter("endpoint_watches_silent"), router.counter("discovery_failures")), (1, 0));
     router.terminate();
     drop(watch);
--- a/crates/cli/tests/loopback/drains.rs
+++ b/crates/cli/tests/loopback/drains.rs
@@ -1,12 +1,15 @@
 //! Tests that a draining node receives no requests once its drain counts as delivered, whatever discovery does.
 
-use crate::rig::{LONG_DEADLINE, QueryStream, RecordingNode, RouterProcess, config};
-use serde_json::Value as Json;
+use crate::rig::{LONG_DEADLINE, QueryStream, RecordingNode, RouterProcess, ScriptedDiscovery, config};
+use serde_json::{Value as Json, json};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use test_servers::{Discovery, member};
+use test_servers::{Discovery, WatchPace, member};
 
 /// The time after SIGHUP at which what the new discovery has counts as delivered.
 const DELIVERED_AFTER_RELOAD: Duration = Duration::from_secs(4);
+/// The time after a change at which it counts as delivered if discovery can be reached.
+const DELIVERED_AFTER_CHANGE: Duration = Duration::from_secs(6);
 /// The time for which a draining node may receive requests: the grace of the configuration, and the allowance of the
 /// protocol for sockets.
 const GRACE: Duration = Duration::from_millis(550);
@@ -31,6 +34,16 @@
     }
 }
 
+/// The values of the setting `registryMode`: the router polls, or discovery pushes changes.
+const DISCOVERY_MODES: [&str; 2] = ["ask", "push"];
+
+/// Returns a configuration with this address of discovery and this value of the setting `registryMode`.
+fn config_with_mode(discovery: SocketAddr, mode: &str) -> Json {
+    let mut config = config(discovery, LONG_DEADLINE);
+    config["settings"]["registryMode"] = mode.into();
+    config
+}
+
 /// Guards against drains that are learned too late since delays after failed requests add up across a reload.
 #[test]
 fn drain_is_applied_in_time_after_a_reload_whose_first_requests_to_discovery_fail() {
@@ -57,3 +70,77 @@
         "requests at the draining node: {log}"
     );
 }
+
+/// Guards against a list that is never applied since its response is given up while bytes keep coming.
+#[test]
+fn list_that_takes_longer_than_the_timeout_to_arrive_is_applied() {
+    for mode in DISCOVERY_MODES {
+        let nodes = Nodes::start();
+        let discovery = Discovery::start(8, nodes.entries("draining"));
+        // The list has about 330 bytes, so it takes some 6 s.
+        discovery.set_pace(WatchPace::Pieces(20, Duration::from_millis(400)));
+        let router =
+            RouterProcess::start(&format!("slow-list-{mode}"), &config_with_mode(discovery.address, mode));
+        router.wait_for_counter("endpoint_list_revision", 8);
+        assert_eq!(router.counter("discovery_requests_timed_out"), 0);
+        let applied_at = Instant::now();
+        let queries = QueryStream::start(router.connect());
+        std::thread::sleep(Duration::from_secs(1));
+        drop(queries);
+        router.terminate();
+        assert!(
+            nodes.staying.arrivals_after(applied_at) > 0 && nodes.draining.arrivals_after(applied_at) == 0
+        );
+    }
+}
+
+/// Guards against a response that progresses for ever and keeps the router from newer lists.
+#[test]
+fn watch_whose_update_never_ends_does_not_delay_a_drain() {
+    for mode in DISCOVERY_MODES {
+        let nodes = Nodes::start();
+        let discovery = ScriptedDiscovery::new();
+        let router =
+            RouterProcess::start(&format!("endless-{mode}"), &config_with_mode(discovery.address(), mode));
+        let (_, mut watch) = discovery.accept_request();
+        watch.send_watch_head();
+        watch.send_updates(&[json!({"revision": 8, "complete": true, "members": nodes.entries("ready")})]);
+        router.wait_for_counter("endpoint_list_revision", 8);
+        let started = Instant::now();
+        let sender = std::thread::spawn(move || watch.send_endless_update(Duration::from_millis(100)));
+        let (request, mut second) = discovery.accept_request();
+        assert!(request.contains("watch=1&after=8"), "{request}");
+        second.send_watch_head();
+        second.send_updates(&[
+            json!({"revision": 9, "complete": false, "members": [nodes.entries("draining")[1]]}),
+        ]);
+        router.wait_for_counter("endpoint_list_revision", 9);
+        assert!(started.elapsed() < DELIVERED_AFTER_CHANGE, "applied after {:?}", started.elapsed());
+        sender.join().expect("the sender does not panic");
+        router.terminate();
+    }
+}
+
+/// Guards against a request that hangs and keeps the router from a list that the next request would get.
+#[test]
+fn request_that_hangs_after_a_reload_does_not_delay_a_drain() {
+    for mode in DISCOVERY_MODES {
+        let test_name = format!("hanging-{mode}");
+        let nodes = Nodes::start();
+        let old_discovery = Discovery::start(8, nodes.entries("ready"));
+        let router =
+            RouterProcess::start_reloadable(&test_name, &config_with_mode(old_discovery.address, mode));
+        router.wait_for_counter("endpoint_list_revision", 8);
+        let new_discovery = ScriptedDiscovery::new();
+        let started = Instant::now();
+        router.reload(&test_name, &config_with_mode(new_discovery.address(), mode));
+        let (_, _hanging) = new_discovery.accept_request();
+        let (_, mut second) = new_discovery.accept_request();
+        second.send_watch_head();
+        second
+            .send_updates(&[json!({"revision": 9, "complete": true, "members": nodes.entries("draining")})]);
+        router.wait_for_counter("endpoint_list_revision", 9);
+        assert!(started.elapsed() < DELIVERED_AFTER_RELOAD, "applied after {:?}", started.elapsed());
+        router.terminate();
+    }
+}
--- a/crates/cli/tests/loopback/rig/discovery.rs
+++ b/crates/cli/tests/loopback/rig/discovery.rs
@@ -4,6 +4,7 @@
 use serde_json::Value as Json;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 /// A discovery service that responds only as the test directs.
 pub struct ScriptedDiscovery(TcpListener);
@@ -44,4 +45,13 @@
         let text: String = updates.iter().map(|update| format!("{update}\n")).collect();
         write!(self.0, "{:x}\r\n{text}\r\n", text.len()).expect("the router reads all bytes");
     }
+
+    /// Sends an update that has no end, one byte of it after each pause, until the router closes the connection.
+    pub fn send_endless_update(&mut self, pause: Duration) {
+        let mut is_open = self.0.write_all(b"d\r\n{\"revision\":9\r\n").is_ok();
+        while is_open {
+            std::thread::sleep(pause);
+            is_open = self.0.write_all(b"1\r\n9\r\n").is_ok();
+        }
+    }
 }
--- a/crates/cli/tests/loopback/serving.rs
+++ b/crates/cli/tests/loopback/serving.rs
@@ -77,6 +77,8 @@
     // The configuration file is removed, so the reload fails and the router continues with its configuration.
     router.signal(Signal::HUP);
     let line = router.read_log_line();
+    assert!(line.contains("endpoint list applied revision=8"), "{line}");
+    let line = router.read_log_line();
     assert!(line.contains("configuration not reloaded"), "{line}");
 
     // Eight shard requests need at least two batches. The header of the first request is sent in two pieces. The second
--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -110,6 +110,8 @@
     endpoint_list_revision,
     /// Watches that were restarted because no complete message followed the previous one in time.
     endpoint_watches_silent,
+    /// Watches that were started beside open ones because these were overdue.
+    endpoint_watches_additional,
     /// Polls and watches that were started.
     discovery_requests,
     /// Polls and watches that failed.
--- a/crates/query-router/src/router/connection/discovery.rs
+++ b/crates/query-router/src/router/connection/discovery.rs
@@ -7,6 +7,10 @@
 
 /// The longest time between two messages of a watch: discovery sends a blank line if there is no update.
 pub const HEARTBEAT_INTERVAL: Micros = 2_000_000;
+/// The time without progress after which a request times out.
+const SILENCE_TIMEOUT: Micros = 2 * HEARTBEAT_INTERVAL;
+/// The time without a complete message after which a request times out although its response progresses.
+const MAX_MESSAGE_TIME: Micros = 60_000_000;
 
 /// The reason why a response of discovery is rejected.
 #[derive(Debug, PartialEq, thiserror::Error)]
@@ -149,6 +153,11 @@
     message_received: bool,
     /// The time of the last message of a watch; the time of the request before the first one.
     last_message_at: Micros,
+    /// The time at which the response last progressed: by a message of a watch, or by a byte of an endpoint list that is
+    /// no white space. The time of the request before that.
+    last_progress_at: Micros,
+    /// Whether such a byte was received since the last call of [`DiscoveryRequest::record_progress`].
+    has_progressed: bool,
     /// The revision of the last update; 0 before the first one.
     revision: u64,
 }
@@ -171,6 +180,8 @@
             progress: BodyProgress::Incomplete,
             message_received: false,
             last_message_at: now,
+            last_progress_at: now,
+            has_progressed: false,
             revision: 0,
         }
     }
@@ -227,7 +238,11 @@
         match self.framing {
             Some(BodyFraming::Chunked) => {
                 let (kind, body, objects) = (self.kind, &mut self.body, &mut self.objects);
-                let mut append = |data: &[u8]| append_body(kind, body, objects, data);
+                let has_progressed = &mut self.has_progressed;
+                let mut append = |data: &[u8]| {
+                    *has_progressed |= !data.trim_ascii().is_empty();
+                    append_body(kind, body, objects, data);
+                };
                 let decoded = self.chunks.decode(bytes, &mut append)?;
                 Ok(ResponseRead {
                     consumed: decoded.consumed,
@@ -239,18 +254,23 @@
             }
             Some(BodyFraming::Length(length)) => {
                 let data = &bytes[..bytes.len().min(length - self.body_read)];
-                append_body(self.kind, &mut self.body, &mut self.objects, data);
+                self.append_body(data);
                 self.body_read += data.len();
                 let progress = BodyProgress::from_complete(self.body_read == length);
                 Ok(ResponseRead { consumed: bytes.len(), progress })
             }
             Some(BodyFraming::UntilClose) | None => {
-                append_body(self.kind, &mut self.body, &mut self.objects, bytes);
+                self.append_body(bytes);
                 Ok(ResponseRead { consumed: bytes.len(), progress: BodyProgress::Incomplete })
             }
         }
     }
 
+    fn append_body(&mut self, data: &[u8]) {
+        self.has_progressed |= !data.trim_ascii().is_empty();
+        append_body(self.kind, &mut self.body, &mut self.objects, data);
+    }
+
     /// Removes and returns the next message of a watch; `None` if none is complete.
     pub fn next_message(&mut self) -> Result<Option<WatchMessage>, DiscoveryError> {
         let item = self.objects.next_item()?;
@@ -264,14 +284,11 @@
     /// Records the arrival of a message of a watch. Returns whether it is the first one.
     pub fn record_message(&mut self, now: Micros) -> bool {
         self.last_message_at = now;
+        self.last_progress_at = now;
+        self.partial_object_since = None;
         !std::mem::replace(&mut self.message_received, true)
     }
 
-    /// Returns whether a message of the watch was received.
-    pub fn has_received_message(&self) -> bool {
-        self.message_received
-    }
-
     /// Returns the revision of the last update of a watch; 0 before the first one.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -282,13 +299,30 @@
         self.revision = revision;
     }
 
-    /// Records the progress after received bytes were parsed. Returns the time since which an object is incomplete, or
-    /// else the time of the last message.
-    pub fn record_progress(&mut self, now: Micros, progress: BodyProgress) -> Micros {
+    /// Records the progress after received bytes were parsed. White space does not count: after a truncated object,
+    /// heartbeats would follow inside it.
+    pub fn record_progress(&mut self, now: Micros, progress: BodyProgress) {
         self.progress = progress;
+        if std::mem::take(&mut self.has_progressed) {
+            self.last_progress_at = now;
+        }
         self.partial_object_since =
             self.objects.is_inside_object().then_some(self.partial_object_since.unwrap_or(now));
-        self.partial_object_since.unwrap_or(self.last_message_at)
+    }
+
+    /// Returns the time at which the request times out.
+    pub fn deadline(&self) -> Micros {
+        (self.last_progress_at + SILENCE_TIMEOUT).min(self.last_message_at + MAX_MESSAGE_TIME)
+    }
+
+    /// Returns the time of the last message of a watch; the time of the request before the first one.
+    pub fn last_message_at(&self) -> Micros {
+        self.last_message_at
+    }
+
+    /// Returns the time since which an object of a watch is incomplete; `None` if none is.
+    pub fn partial_object_since(&self) -> Option<Micros> {
+        self.partial_object_since
     }
 
     /// Handles an orderly close by discovery, which completes a body without a length.
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -1,31 +1,31 @@
-//! Discovery: polls and watches of the endpoint list, restarts of a watch, and storing of endpoint updates.
+//! Discovery: polls and watches of the endpoint list, further watches beside one that is overdue, and storing of endpoint
+//! updates.
 
 mod backoff;
+mod store;
+mod watches;
 
 use crate::config::Config;
 use crate::io::{ConnectionId, Effect};
 use crate::router::connection::Connection;
 use crate::router::connection::discovery::{
-    DiscoveryError, DiscoveryRequest, EndpointList, HEARTBEAT_INTERVAL, RequestFailure, RequestKind,
-    ResponseRead, WatchMessage, WatchUpdate, parse_update,
+    DiscoveryError, DiscoveryRequest, EndpointList, RequestFailure, RequestKind, ResponseRead, WatchMessage,
+    WatchUpdate, parse_update,
 };
 use crate::router::context::Context;
 use backoff::WatchBackoff;
-use balancer::{DiscoveryMode, Endpoint, EndpointUpdate, Micros};
+use balancer::{DiscoveryMode, EndpointUpdate};
 use serde_json::Value as Json;
-use settings_schema::EndpointEntry;
 use std::net::SocketAddr;
-
-/// The time without a complete message after which a watch times out, and the time within which a poll must end.
-const SILENCE_TIMEOUT: Micros = 2 * HEARTBEAT_INTERVAL;
+use watches::Watches;
 
 /// The result of a request to discovery that has ended or timed out.
 #[derive(Debug)]
 pub enum RequestOutcome {
     /// A poll returned a full endpoint list.
     List(EndpointList),
-    /// A watch that had received messages timed out and was restarted.
-    WatchRestarted,
+    /// A watch has ended and another one is open.
+    Replaced,
     /// The request failed, which must be reported to the balancer.
     Failed,
 }
@@ -37,7 +37,7 @@
     /// The revision after which a watch requests updates: that of the last update that was applied; 0 after a change of
     /// the address.
     revision: u64,
-    watch: Option<ConnectionId>,
+    watches: Watches,
     backoff: WatchBackoff,
     /// The names of the zones by index, as configured.
     zones: Vec<String>,
@@ -47,13 +47,14 @@
 }
 
 impl Discovery {
-    /// Creates the state for the discovery address of the configuration. No request is sent yet.
-    pub fn new(config: &Config) -> Discovery {
+    /// Creates the state for the discovery address of the configuration, in a router that may have this many
+    /// connections. No request is sent yet.
+    pub fn new(config: &Config, max_connections: usize) -> Discovery {
         Discovery {
             address: config.discovery,
             mode: config.settings.discovery_mode,
             revision: 0,
-            watch: None,
+            watches: Watches::new(max_connections),
             backoff: WatchBackoff::new(config),
             zones: config.settings.zones.clone(),
             unreported_failures: 0,
@@ -67,36 +68,55 @@
         }
     }
 
-    /// Starts a watch that replaces the current one.
-    pub fn start_watch(&mut self, context: &mut Context) {
-        self.stop_watch(context);
-        self.watch = self.request(context, RequestKind::Watch);
+    /// Starts a watch if none is open.
+    pub fn ensure_watch(&mut self, context: &mut Context) {
+        if self.watches.is_empty() {
+            self.start_watch(context);
+        }
     }
 
-    /// Ends the watch and cancels a scheduled retry, which would otherwise replace a later watch.
-    pub fn stop_watch(&mut self, context: &mut Context) {
-        if let Some(id) = self.watch.take() {
-            context.close(id);
+    /// Starts a watch beside those that are open.
+    fn start_watch(&mut self, context: &mut Context) {
+        self.backoff.cancel(context);
+        self.watches.make_room(context);
+        let id = self.request(context, RequestKind::Watch);
+        if id.is_none() && self.watches.is_empty() {
+            self.unreported_failures += 1;
         }
+        self.watches.started(context, id);
+        self.watches.schedule(context);
+    }
+
+    /// Starts another watch, since the open ones are overdue.
+    pub fn start_additional_watch(&mut self, context: &mut Context) {
+        self.watches.timer_expired();
+        context.counters.endpoint_watches_additional += 1;
+        let (revision, list_age_ms) = (self.revision, context.endpoints.list_age_ms(context.now));
+        tracing::info!(revision, list_age_ms, "endpoint watch overdue; another one started");
+        self.start_watch(context);
+    }
+
+    /// Ends all watches and cancels a scheduled retry.
+    pub fn stop_watch(&mut self, context: &mut Context) {
+        self.watches.close_all(context);
         self.backoff.cancel(context);
     }
 
     /// Requests the full endpoint list once. Returns `None` if no connection can be opened.
     pub fn poll(&mut self, context: &mut Context) -> Option<ConnectionId> {
-        self.request(context, RequestKind::Poll)
+        let id = self.request(context, RequestKind::Poll);
+        self.unreported_failures += usize::from(id.is_none());
+        id
     }
 
-    /// Opens a connection for a request to discovery. If none can be opened, the failure is reported to the balancer
-    /// before its next decision.
+    /// Opens a connection for a request to discovery. Returns `None` if none can be opened.
     fn request(&mut self, context: &mut Context, kind: RequestKind) -> Option<ConnectionId> {
         context.counters.discovery_requests += 1;
         let request = DiscoveryRequest::new(kind, context.now);
-        let Some(id) = context.open(Connection::Discovery(request)) else {
-            self.unreported_failures += 1;
-            return None;
-        };
+        let deadline = request.deadline();
+        let id = context.open(Connection::Discovery(request))?;
         context.effects.push(Effect::Connect { connection: id, address: self.address });
-        context.set_connection_timer(id, Some(context.now + SILENCE_TIMEOUT));
+        context.set_connection_timer(id, Some(deadline));
         Some(id)
     }
 
@@ -125,6 +145,7 @@
             context.close(id);
             self.poll(context);
         }
+        self.stop_watch(context);
         self.start_watch(context);
         true
     }
@@ -159,49 +180,65 @@
     pub fn next_update(
         &mut self, context: &mut Context, id: ConnectionId,
     ) -> Result<Option<EndpointList>, DiscoveryError> {
-        let request = context.connections.discovery_mut(id);
-        if request.kind == RequestKind::Poll {
+        if context.connections.discovery_mut(id).kind == RequestKind::Poll {
             return Ok(None);
         }
-        while let Some(message) = request.next_message()? {
-            let is_first = request.record_message(context.now);
-            context.endpoints.confirm(context.now);
-            if is_first {
-                self.backoff.reset();
-            }
-            let text = match message {
-                WatchMessage::Heartbeat if is_first => {
-                    return Ok(Some(EndpointList { update: EndpointUpdate::Incremental, json: Json::Null }));
-                }
-                WatchMessage::Heartbeat => continue,
-                WatchMessage::Update(text) => text,
+        while let Some(message) = context.connections.discovery_mut(id).next_message()? {
+            let list = match message {
+                WatchMessage::Heartbeat => self.accept_heartbeat(context, id),
+                WatchMessage::Update(text) => self.accept_update(context, id, parse_update(&text)?),
             };
-            let WatchUpdate { revision, list } = parse_update(&text)?;
-            // A delayed update could make a draining node ready again.
-            let newest = request.revision();
-            if revision < newest {
-                context.counters.endpoint_lists_stale += 1;
-                tracing::warn!(
-                    revision,
-                    newest,
-                    "endpoint update skipped: its revision is lower than that of the newest update"
-                );
-                continue;
+            if list.is_some() {
+                return Ok(list);
             }
-            request.set_revision(revision);
-            return Ok(Some(list));
         }
         Ok(None)
     }
 
-    /// Consumes the parsed bytes and sets the timeout of the request, which counts from the last message or from the
-    /// start of an incomplete object. Further bytes of that object do not postpone the timeout, since nothing after a
-    /// truncated object can be parsed.
-    pub fn finish_reading(&self, context: &mut Context, id: ConnectionId, read: ResponseRead) {
+    fn accept_heartbeat(&mut self, context: &mut Context, id: ConnectionId) -> Option<EndpointList> {
+        let is_first = self.record_message(context, id);
+        is_first.then_some(EndpointList { update: EndpointUpdate::Incremental, json: Json::Null })
+    }
+
+    fn accept_update(
+        &mut self, context: &mut Context, id: ConnectionId, update: WatchUpdate,
+    ) -> Option<EndpointList> {
+        self.record_message(context, id);
+        let request = context.connections.discovery_mut(id);
+        let (revision, newest) = (update.revision, request.revision());
+        // A delayed update could make a draining node ready again.
+        if revision < newest {
+            context.counters.endpoint_lists_stale += 1;
+            tracing::warn!(
+                revision,
+                newest,
+                "endpoint update skipped: its revision is lower than that of the newest update"
+            );
+            return None;
+        }
+        request.set_revision(revision);
+        Some(update.list)
+    }
+
+    /// Records a complete message of a watch. Returns whether it is the first one of this watch.
+    fn record_message(&mut self, context: &mut Context, id: ConnectionId) -> bool {
+        let is_first = context.connections.discovery_mut(id).record_message(context.now);
+        context.endpoints.confirm(context.now);
+        self.watches.message_received(context, id);
+        if is_first {
+            self.backoff.reset();
+        }
+        is_first
+    }
+
+    /// Consumes the parsed bytes and sets the timeout of the request.
+    pub fn finish_reading(&mut self, context: &mut Context, id: ConnectionId, read: ResponseRead) {
         context.effects.push(Effect::Consume { connection: id, count: read.consumed });
-        let now = context.now;
-        let no_progress_since = context.connections.discovery_mut(id).record_progress(now, read.progress);
-        context.set_connection_timer(id, Some(no_progress_since + SILENCE_TIMEOUT));
+        let request = context.connections.discovery_mut(id);
+        request.record_progress(context.now, read.progress);
+        let deadline = request.deadline();
+        context.set_connection_timer(id, Some(deadline));
+        self.watches.schedule(context);
     }
 
     /// Handles an orderly close by discovery. The end of the connection follows as a separate event.
@@ -233,35 +270,45 @@
         self.fail_request(context, id, RequestFailure::InvalidResponse)
     }
 
-    /// Handles the timeout of a request. A watch that had received messages is restarted at once. The balancer gets a
-    /// report only if the restart fails, since the missed updates arrive soon after it. A watch without any message
-    /// fails and is restarted after a short delay, whatever the balancer decides.
+    /// Handles the timeout of a request. A watch that had received messages is restarted at once if no other is open.
+    /// The balancer gets a report only if the restart fails, since the missed updates arrive soon after it. If a watch
+    /// without any message was the only one, the next one is started after a short delay, whatever the balancer decides.
     pub fn timed_out(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
-        if self.watch != Some(id) {
-            return self.fail_request(context, id, RequestFailure::TimedOut);
+        if self.watches.is_current(id) {
+            return self.replace_silent_watch(context, id);
         }
-        if !context.connections.discovery_mut(id).has_received_message() {
-            let outcome = self.fail_request(context, id, RequestFailure::TimedOut);
+        let outcome = self.fail_request(context, id, RequestFailure::TimedOut);
+        if matches!(outcome, RequestOutcome::Failed) && self.watches.is_empty() {
             self.backoff.schedule_after_silence(context);
-            return outcome;
         }
+        outcome
+    }
+
+    fn replace_silent_watch(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
         let (revision, list_age_ms) = (self.revision, context.endpoints.list_age_ms(context.now));
-        tracing::info!(connection = id.0, revision, list_age_ms, "endpoint watch timed out; restarted");
+        tracing::info!(connection = id.0, revision, list_age_ms, "endpoint watch timed out; replaced");
         context.counters.endpoint_watches_silent += 1;
-        self.start_watch(context);
-        RequestOutcome::WatchRestarted
+        self.watches.remove(id);
+        context.close(id);
+        self.ensure_watch(context);
+        self.watches.schedule(context);
+        RequestOutcome::Replaced
     }
 
+    /// Ends a request that has failed. The failure is reported unless it is that of a watch and another one is open.
     fn fail_request(
         &mut self, context: &mut Context, id: ConnectionId, failure: RequestFailure,
     ) -> RequestOutcome {
         self.log_failure(context, id, failure);
-        if self.watch == Some(id) {
-            self.watch = None;
-        }
+        let kind = context.connections.discovery_mut(id).kind;
+        self.watches.remove(id);
         context.close(id);
+        self.watches.schedule(context);
         self.handle_failure(context);
-        RequestOutcome::Failed
+        match kind {
+            RequestKind::Watch if !self.watches.is_empty() => RequestOutcome::Replaced,
+            _ => RequestOutcome::Failed,
+        }
     }
 
     fn log_failure(&self, context: &mut Context, id: ConnectionId, failure: RequestFailure) {
@@ -286,61 +333,8 @@
     /// Handles the failure of a request: schedules the next watch if endpoint lists are pushed and there is no watch.
     pub fn handle_failure(&mut self, context: &mut Context) {
         context.counters.discovery_failures += 1;
-        if self.mode == DiscoveryMode::Pushed && self.watch.is_none() {
+        if self.mode == DiscoveryMode::Pushed && self.watches.is_empty() {
             self.backoff.schedule(context);
         }
     }
-
-    /// Stores an endpoint list or update. Returns its valid entries for the balancer.
-    pub fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
-        let revision = list.json["revision"].as_u64();
-        self.revision = revision.unwrap_or(self.revision);
-        context.endpoints.start_update();
-        match list.update {
-            EndpointUpdate::Incremental => context.counters.endpoint_lists_incremental += 1,
-            _ => context.counters.endpoint_lists_full += 1,
-        }
-        let members = list.json["members"].as_array().map_or(&[][..], Vec::as_slice);
-        let stored = members.iter().filter_map(|member| self.store_entry(context, member)).collect();
-        if list.update != EndpointUpdate::Incremental {
-            context.endpoints.finish_full_update(context.now);
-        }
-        if list.update != EndpointUpdate::Cached {
-            context.endpoints.finish_received_update(context.now);
-        }
-        if let Some(revision) = revision {
-            record_applied(context, revision, list.update, members.len());
-        }
-        stored
-    }
-
-    fn store_entry(&self, context: &mut Context, member: &Json) -> Option<Endpoint> {
-        let Some(entry) = EndpointEntry::parse(member) else {
-            tracing::warn!(entry = %member, "invalid endpoint entry skipped");
-            return None;
-        };
-        let zone = self.zones.iter().position(|name| name == entry.zone).unwrap_or(self.zones.len());
-        let node = context.endpoints.store(context.now, &entry);
-        Some(Endpoint {
-            node,
-            zone,
-            replica_set: entry.replica_set,
-            state: entry.state,
-            scale: entry.scale,
-            started_at: context.endpoints[node].started_at(),
-        })
-    }
-}
-
-/// Records and logs that an endpoint list or update was applied.
-fn record_applied(context: &mut Context, revision: u64, update: EndpointUpdate, entries: usize) {
-    let previous_revision = context.endpoints.revision();
-    context.endpoints.set_revision(revision);
-    context.counters.endpoint_list_revision = revision;
-    // The list of the configuration is no message of discovery, and is applied before the router has started.
-    if update == EndpointUpdate::Cached {
-        return;
-    }
-    let ready = context.endpoints.ready_count();
-    tracing::info!(revision, previous_revision, kind = ?update, entries, ready, "endpoint list applied");
 }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -222,7 +222,8 @@
                 let report = node_connections::health_check_timed_out(context, id);
                 self.report_all_to_balancer(report);
             }
-            Timer::StartWatch => discovery.start_watch(context),
+            Timer::StartWatch => discovery.ensure_watch(context),
+            Timer::AdditionalWatch => discovery.start_additional_watch(context),
             Timer::CloseIdleClients => clients.close_idle(context),
             Timer::ResponseDeadline => clients.reject_incomplete(context),
             Timer::Connection(id) => self.connection_timer_expired(id),
@@ -337,7 +338,7 @@
                 self.apply_endpoint_list(&list);
                 self.state.context.close(id);
             }
-            RequestOutcome::WatchRestarted => {}
+            RequestOutcome::Replaced => {}
             RequestOutcome::Failed => self.report_discovery_failure(),
         }
     }
--- a/crates/query-router/src/router/state.rs
+++ b/crates/query-router/src/router/state.rs
@@ -27,12 +27,14 @@
 impl State {
     /// Creates the state of a router that starts at `now`.
     pub fn new(config: &Config, now: Micros) -> State {
+        let context = Context::new(config, now);
+        let discovery = Discovery::new(config, context.limits.max_connections);
         State {
-            context: Context::new(config, now),
+            context,
             queries: QueryTable::default(),
             clients: Clients::new(config),
             dispatcher: Dispatcher::new(config),
-            discovery: Discovery::new(config),
+            discovery,
         }
     }
 }
@@ -81,7 +83,7 @@
 
     fn watch_endpoints(&mut self, enabled: bool) {
         if enabled {
-            self.discovery.start_watch(&mut self.context);
+            self.discovery.ensure_watch(&mut self.context);
         } else {
             self.discovery.stop_watch(&mut self.context);
         }
--- a/crates/query-router/src/router/timers.rs
+++ b/crates/query-router/src/router/timers.rs
@@ -17,6 +17,8 @@
     HealthCheckTimeout(ConnectionId),
     /// The time of the next watch on the endpoint list after one that failed.
     StartWatch,
+    /// The time at which the open watches on the endpoint list are overdue.
+    AdditionalWatch,
     /// Graceful shutdown: the start of the phase in which connections without a request are closed.
     CloseIdleClients,
     /// Graceful shutdown: the time at which incomplete requests are rejected.
