--- a/crates/cli/tests/loopback/serving.rs
+++ b/crates/cli/tests/loopback/serving.rs
@@ -75,6 +75,7 @@
     assert_eq!(client.read_response(), ("HTTP/1.1 200 OK".to_string(), "OK\n".to_string()));
 
     // The configuration file is removed, so the reload fails and the router continues with its configuration.
+    router.wait_for_counter("endpoint_lists_full", 2);
     router.signal(Signal::HUP);
     let line = router.read_log_line();
     assert!(line.contains("endpoint list applied revision=8"), "{line}");
