Requests that wait for room to write are not sent after their node began to drain

Callers could see a request reach a draining or removed node at any time after the grace: its frame had been passed to the event loop, the write could not go on (no memory for it, or a full send buffer), and the drain that came meanwhile cancelled only frames that still stood in the queue. A send counts from its first byte, which then went out when writing went on.

A connection with unwritten bytes is now closed when its node drains, is removed or moves; attempts that were not written in full count as not sent and go elsewhere. Counter: node_connections_abandoned.

--- a/crates/cli/tests/loopback/drains.rs
+++ b/crates/cli/tests/loopback/drains.rs
@@ -1,6 +1,9 @@
 //! Tests that a draining node receives no requests once its drain counts as delivered, whatever discovery does.
 
-use crate::rig::{LONG_DEADLINE, QueryStream, RecordingNode, RouterProcess, ScriptedDiscovery, config};
+use crate::rig::{
+    FaultyRouter, LONG_DEADLINE, QueryStream, RecordingNode, RouterProcess, ScriptedDiscovery, config,
+};
+use fault_control::{Call, Fault};
 use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -144,3 +147,27 @@
         router.terminate();
     }
 }
+
+/// Guards against requests that wait for room to write and are written long after their node began to drain.
+#[test]
+fn request_whose_write_is_delayed_beyond_a_drain_is_not_sent_to_the_draining_node() {
+    let nodes = Nodes::start();
+    let [staying, draining]: [Json; 2] = nodes.entries("ready").try_into().expect("two nodes");
+    let discovery = Discovery::start(8, vec![draining]);
+    let router = FaultyRouter::start("blocked-write", &config(discovery.address, LONG_DEADLINE), |_| {});
+    router.process.wait_for_counter("endpoint_list_revision", 8);
+    let mut client = router.process.connect();
+    client.send_query("look", "t1", LONG_DEADLINE);
+    assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
+    router.control.set_rate(Call::Send, 1000, &[Fault::Error(libc::ENOBUFS)]);
+    client.send_query("look", "t2", LONG_DEADLINE);
+    std::thread::sleep(Duration::from_millis(200));
+    let drained_at = Instant::now();
+    discovery.publish(vec![nodes.entries("draining")[1].clone(), staying]);
+    std::thread::sleep(2 * GRACE);
+    router.control.clear();
+    assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
+    drop(client);
+    let log = router.process.terminate();
+    assert_eq!(nodes.draining.arrivals_after(drained_at + GRACE), 0, "requests at the draining node: {log}");
+}
--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -96,6 +96,8 @@
     node_connections_failed,
     /// Connections to nodes that were closed while idle.
     node_connections_closed_idle,
+    /// Connections to draining, removed or moved nodes that were closed because they had unwritten bytes.
+    node_connections_abandoned,
     /// Health checks that were passed to the event loop for writing.
     health_checks_sent,
     /// Full endpoint lists that were applied, including the cached one from the configuration.
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -41,8 +41,9 @@
     /// The node closed the connection, or the connection failed. Includes connections that the router aborts because
     /// the node was restarted, did not answer a health check in time, or could not parse a frame.
     Remote,
-    /// The router closes the connection because it received malformed bytes while no attempt was in flight, or because
-    /// it cancelled an attempt whose frame is not known to be written in full.
+    /// The router closes the connection because it received malformed bytes while no attempt was in flight, because it
+    /// cancelled an attempt whose frame is not known to be written in full, or because bytes for a node that is not
+    /// ready any more are unwritten.
     Local,
     /// The router closes the connection because the response to this attempt is malformed.
     MalformedResponse(AttemptId),
@@ -180,6 +181,12 @@
         self.reusable = false;
     }
 
+    /// Records that the router closes the connection although attempts are in flight on it.
+    pub fn abandon(&mut self) {
+        self.close_cause = CloseCause::Local;
+        self.reusable = false;
+    }
+
     /// Returns why the connection ends.
     pub fn close_cause(&self) -> CloseCause {
         self.close_cause
@@ -263,8 +270,7 @@
             return WriteProgress::NotWritten;
         };
         if self.in_flight[index].end_offset > self.bytes_flushed {
-            self.close_cause = CloseCause::Local;
-            self.reusable = false;
+            self.abandon();
             return WriteProgress::PartlyWritten;
         }
         self.in_flight.remove(index);
--- a/crates/query-router/src/router/dispatch.rs
+++ b/crates/query-router/src/router/dispatch.rs
@@ -158,8 +158,9 @@
     }
 
     /// Applies an endpoint update to the connections of a node. Connections older than the node's process are aborted:
-    /// a machine that failed does not close them, and attempts sent on them are lost. Queued attempts are cancelled and
-    /// idle connections closed if the node is not ready or has another address.
+    /// a machine that failed does not close them, and attempts sent on them are lost. If the node is not ready or has
+    /// another address, queued attempts are cancelled, idle connections are closed, and connections with unwritten bytes
+    /// are aborted: the bytes could be written at any later time.
     pub fn apply_endpoint(&mut self, context: &mut Context, queries: &mut QueryTable, node: NodeId) {
         let endpoint = &context.endpoints[node];
         let (ready, address, started_at) = (endpoint.ready, endpoint.address, endpoint.started_at());
@@ -182,7 +183,17 @@
             for attempt in queued {
                 self.cancel(context, queries, attempt, AttemptOutcome::NotSent);
             }
-            if context.connections.node_mut(id).idle_since().is_some() {
+            let connection = context.connections.node_mut(id);
+            if !connection.is_flushed() {
+                connection.abandon();
+                context.counters.node_connections_abandoned += 1;
+                tracing::info!(
+                    connection = id.0,
+                    node = node.0,
+                    "blocked connection to a draining node aborted"
+                );
+                context.effects.push(Effect::Abort(id));
+            } else if connection.idle_since().is_some() {
                 context.close_idle_node_connection(id);
             }
         }
