A list with an older revision does not undo a drain

Callers could see requests at draining or removed nodes after a new watch, or the first one after a reload, was answered by a replica of discovery that lags behind: revisions were compared within one watch only, so an older list made drained nodes ready again.

A list or change with a lower revision than the newest one from discovery now takes nodes away but makes none ready that is not; after 5 s without a newer one the list is requested in full and accepted, so that a discovery whose revisions began anew is believed. Counter: endpoint_lists_older.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -108,6 +108,8 @@
     endpoint_lists_invalid,
     /// Endpoint lists that were skipped because a newer revision was already applied.
     endpoint_lists_stale,
+    /// Endpoint lists and updates with a lower revision than an earlier one, which made no node ready.
+    endpoint_lists_older,
     /// The revision of the last endpoint list or update that was applied.
     endpoint_list_revision,
     /// Watches that were restarted because no complete message followed the previous one in time.
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -14,7 +14,7 @@
 };
 use crate::router::context::Context;
 use backoff::WatchBackoff;
-use balancer::{DiscoveryMode, EndpointUpdate};
+use balancer::{DiscoveryMode, EndpointUpdate, Micros};
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use watches::Watches;
@@ -37,6 +37,10 @@
     /// The revision after which a watch requests updates: that of the last update that was applied; 0 after a change of
     /// the address.
     revision: u64,
+    /// The highest revision that discovery has sent; 0 before the first, and after lists with older ones are accepted.
+    newest_revision: u64,
+    /// The time at which lists with an older revision are accepted, if such a list came last.
+    accept_older_at: Option<Micros>,
     watches: Watches,
     backoff: WatchBackoff,
     /// The names of the zones by index, as configured.
@@ -54,6 +58,8 @@
             address: config.discovery,
             mode: config.settings.discovery_mode,
             revision: 0,
+            newest_revision: 0,
+            accept_older_at: None,
             watches: Watches::new(max_connections),
             backoff: WatchBackoff::new(config),
             zones: config.settings.zones.clone(),
--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -3,22 +3,37 @@
 use super::Discovery;
 use crate::router::connection::discovery::EndpointList;
 use crate::router::context::Context;
-use balancer::{Endpoint, EndpointUpdate};
+use crate::router::timers::Timer;
+use balancer::{Endpoint, EndpointState, EndpointUpdate, Micros};
 use serde_json::Value as Json;
 use settings_schema::EndpointEntry;
 
+/// The time for which a list with an older revision than the newest does not make nodes ready. A replica of discovery
+/// that lags behind would otherwise undo a drain; after this time revisions count as having begun anew.
+const OLDER_REVISION_TIMEOUT: Micros = 5_000_000;
+
+/// How the revision of a list compares with the newest one that discovery has sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum RevisionOrder {
+    /// No list had a higher revision.
+    Newest,
+    /// A list with a higher revision came before.
+    Older,
+}
+
 impl Discovery {
     /// Stores an endpoint list or update. Returns its valid entries for the balancer.
     pub fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
         let revision = list.json["revision"].as_u64();
         self.revision = revision.unwrap_or(self.revision);
+        let order = self.record_revision(context, list);
         context.endpoints.start_update();
         match list.update {
             EndpointUpdate::Incremental => context.counters.endpoint_lists_incremental += 1,
             _ => context.counters.endpoint_lists_full += 1,
         }
         let members = list.json["members"].as_array().map_or(&[][..], Vec::as_slice);
-        let stored = members.iter().filter_map(|member| self.store_entry(context, member)).collect();
+        let stored = members.iter().filter_map(|member| self.store_entry(context, member, order)).collect();
         if list.update != EndpointUpdate::Incremental {
             context.endpoints.finish_full_update(context.now);
         }
@@ -31,11 +46,56 @@
         stored
     }
 
-    fn store_entry(&self, context: &mut Context, member: &Json) -> Option<Endpoint> {
-        let Some(entry) = EndpointEntry::parse(member) else {
+    /// Compares the revision of a list with the newest one from discovery, and records it if it is not older.
+    fn record_revision(&mut self, context: &mut Context, list: &EndpointList) -> RevisionOrder {
+        let revision = list.json["revision"].as_u64();
+        let Some(revision) = revision.filter(|_| list.update != EndpointUpdate::Cached) else {
+            return RevisionOrder::Newest;
+        };
+        if revision < self.newest_revision {
+            self.watch_older_revision(context, revision);
+            return RevisionOrder::Older;
+        }
+        self.newest_revision = revision;
+        if let Some(at) = self.accept_older_at.take() {
+            context.timers.remove(at, Timer::AcceptOlderRevision);
+        }
+        RevisionOrder::Newest
+    }
+
+    /// Sets the time from which lists of an older revision are accepted in full, unless it is set.
+    fn watch_older_revision(&mut self, context: &mut Context, revision: u64) {
+        context.counters.endpoint_lists_older += 1;
+        tracing::warn!(
+            revision,
+            newest = self.newest_revision,
+            "endpoint list has an older revision: nodes that are not ready stay so"
+        );
+        if self.accept_older_at.is_none() {
+            let at = context.now + OLDER_REVISION_TIMEOUT;
+            self.accept_older_at = Some(at);
+            context.timers.insert(at, Timer::AcceptOlderRevision);
+        }
+    }
+
+    /// Requests the list again after revisions have been older for [`OLDER_REVISION_TIMEOUT`], and accepts whichever is
+    /// sent.
+    pub fn accept_older_revision(&mut self, context: &mut Context) {
+        self.accept_older_at = None;
+        self.newest_revision = 0;
+        self.revision = 0;
+        self.start_watch(context);
+    }
+
+    fn store_entry(&self, context: &mut Context, member: &Json, order: RevisionOrder) -> Option<Endpoint> {
+        let Some(mut entry) = EndpointEntry::parse(member) else {
             tracing::warn!(entry = %member, "invalid endpoint entry skipped");
             return None;
         };
+        let may_become_ready = order == RevisionOrder::Newest || context.endpoints.is_ready(entry.id);
+        if entry.state == EndpointState::Ready && !may_become_ready {
+            entry.state = EndpointState::Draining;
+        }
         let zone = self.zones.iter().position(|name| name == entry.zone).unwrap_or(self.zones.len());
         let node = context.endpoints.store(context.now, &entry);
         Some(Endpoint {
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -127,6 +127,11 @@
         self.records.len()
     }
 
+    /// Returns whether the node with this id in endpoint lists is ready; false if there is none.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.ids.find(id).is_some_and(|index| self.records[index].ready)
+    }
+
     /// Returns the number of ready endpoints.
     pub fn ready_count(&self) -> usize {
         self.records.iter().filter(|record| record.ready).count()
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -224,6 +224,7 @@
             }
             Timer::StartWatch => discovery.ensure_watch(context),
             Timer::AdditionalWatch => discovery.start_additional_watch(context),
+            Timer::AcceptOlderRevision => discovery.accept_older_revision(context),
             Timer::CloseIdleClients => clients.close_idle(context),
             Timer::ResponseDeadline => clients.reject_incomplete(context),
             Timer::Connection(id) => self.connection_timer_expired(id),
--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -11,6 +11,7 @@
 mod queries;
 mod rig;
 mod shutdown;
+mod stale_lists;
 
 use crate::config::Config;
 use crate::io::{ConnectionId, Effect, Event};
--- /dev/null
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -0,0 +1,112 @@
+//! Tests that a drain is kept whatever discovery sends or fails to send afterwards.
+
+use super::*;
+use balancer::Micros;
+use serde_json::{Value as Json, json};
+
+/// Returns an entry of the endpoint list.
+fn entry(id: &str, phase: &str) -> Json {
+    let port = if id == "a" { 71 } else { 72 };
+    json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "locality": "z", "cell": 0, "phase": phase,
+        "size": 1.0, "up_since_ms": 0})
+}
+
+/// Returns a list as one line of a watch.
+fn list(revision: u64, complete: bool, members: &[Json]) -> String {
+    json!({"revision": revision, "complete": complete, "members": members}).to_string() + "\n"
+}
+
+/// Returns the head of a response to a watch, followed by this text in one chunk.
+fn response(text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns the configuration of a router that may have several watches, with this value of `registryMode`.
+fn config(mode: &str) -> String {
+    CONFIG.replace("\"sockets\":22", "\"sockets\":128").replace("\"ask\"", &format!("\"{mode}\""))
+}
+
+/// Establishes the last watch that was opened and lets discovery answer it with this text. Returns its request.
+fn answer_watch(rig: &mut Rig<RecordingPeers>, text: &str) -> String {
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.step(Event::Established(watch));
+    let request = rig.written(watch);
+    rig.receive(watch, response(text).as_bytes());
+    rig.decide();
+    request
+}
+
+/// Advances the clock until another watch is opened, and returns the time that this takes.
+fn time_to_next_watch(rig: &mut Rig<RecordingPeers>) -> Micros {
+    let (requests, started) = (rig.router.counters().discovery_requests, rig.now);
+    while rig.router.counters().discovery_requests == requests {
+        rig.decide_and_advance(10_000);
+    }
+    rig.now - started
+}
+
+/// Returns a router to which discovery has sent, at revision 50, that node `b` drains, and whose watch has ended since.
+/// `move_discovery` says whether it ended by a reload.
+fn router_with_drained_node(mode: &str, move_discovery: bool) -> Rig<RecordingPeers> {
+    let mut rig = Rig::with_config(&config(mode));
+    answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "draining")]));
+    assert_eq!(rig.ready_endpoints(), 1);
+    if move_discovery {
+        rig.step(Event::DiscoveryAddressReloaded(SocketAddr::from(([127, 0, 0, 1], DISCOVERY_PORT + 1))));
+    } else {
+        let watch = rig.peers.outgoing.last().expect("a watch").id;
+        rig.end_connection(watch, 0);
+        time_to_next_watch(&mut rig);
+    }
+    rig
+}
+
+/// Guards against a replica of discovery that lags behind and undoes a drain.
+#[test]
+fn a_list_with_an_older_revision_does_not_make_a_drained_node_ready() {
+    for (mode, move_discovery) in [("ask", false), ("ask", true), ("push", false), ("push", true)] {
+        for complete in [true, false] {
+            let mut rig = router_with_drained_node(mode, move_discovery);
+            answer_watch(&mut rig, &list(49, complete, &[entry("a", "ready"), entry("b", "ready")]));
+            assert_eq!((rig.ready_endpoints(), rig.router.counters().endpoint_lists_older), (1, 1));
+            // The replica catches up, and the node is ready again at a later revision.
+            let watch = rig.peers.outgoing.last().expect("a watch").id;
+            let updates =
+                list(50, false, &[entry("b", "draining")]) + &list(51, false, &[entry("b", "ready")]);
+            rig.receive(watch, format!("{:x}\r\n{updates}\r\n", updates.len()).as_bytes());
+            assert_eq!(rig.ready_endpoints(), 2);
+        }
+    }
+}
+
+/// Guards against a node that was removed and comes back by an older list.
+#[test]
+fn a_list_with_an_older_revision_does_not_bring_a_removed_node_back() {
+    let mut rig = Rig::with_config(&config("ask"));
+    answer_watch(&mut rig, &list(50, true, &[entry("a", "ready")]));
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.end_connection(watch, 0);
+    time_to_next_watch(&mut rig);
+    answer_watch(&mut rig, &list(49, true, &[entry("a", "ready"), entry("b", "ready")]));
+    assert_eq!(rig.ready_endpoints(), 1);
+}
+
+/// Guards against a discovery service whose revisions began anew and that is never believed again.
+#[test]
+fn lists_of_a_discovery_whose_revisions_began_anew_are_accepted_after_a_while() {
+    for (mode, move_discovery) in [("ask", false), ("ask", true), ("push", false), ("push", true)] {
+        let mut rig = router_with_drained_node(mode, move_discovery);
+        answer_watch(&mut rig, &list(2, true, &[entry("b", "ready")]));
+        assert_eq!(
+            rig.ready_endpoints(),
+            0,
+            "node a is not listed, node b is drained by the newest revision"
+        );
+        rig.decide_and_advance(3_000_000);
+        rig.receive(rig.peers.outgoing[0].id, b"1\r\n\n\r\n");
+        assert!(time_to_next_watch(&mut rig) <= 2_010_000);
+        let request = answer_watch(&mut rig, &list(2, true, &[entry("b", "ready")]));
+        assert!(request.starts_with("GET /api/targets?watch=1&after=0 "), "{request}");
+        assert_eq!(rig.ready_endpoints(), 1);
+    }
+}
--- a/crates/query-router/src/router/timers.rs
+++ b/crates/query-router/src/router/timers.rs
@@ -19,6 +19,8 @@
     StartWatch,
     /// The time at which the open watches on the endpoint list are overdue.
     AdditionalWatch,
+    /// The time from which endpoint lists with an older revision are accepted.
+    AcceptOlderRevision,
     /// Graceful shutdown: the start of the phase in which connections without a request are closed.
     CloseIdleClients,
     /// Graceful shutdown: the time at which incomplete requests are rejected.
