Drains in a list that arrives slowly are applied before its end

Callers saw requests at drained nodes for as long as a list took to arrive, with a discovery that writes 60 bytes every 0.6 s for example; it counts as delivered after 6 s whether it arrived or not. Entries that take a node away are now applied as they arrive, and 3.5 s after the start of a full list the nodes that it has not named yet are suspended until they are named, or until the list ends without being complete.

Counter: endpoint_lists_partial.

--- a/crates/cli/tests/loopback/drains.rs
+++ b/crates/cli/tests/loopback/drains.rs
@@ -171,3 +171,29 @@
     let log = router.process.terminate();
     assert_eq!(nodes.draining.arrivals_after(drained_at + GRACE), 0, "requests at the draining node: {log}");
 }
+
+/// Guards against a removed node that is used until the end of a full list that arrives slowly.
+#[test]
+fn node_that_a_slow_full_list_leaves_out_receives_no_requests_once_its_removal_counts_as_delivered() {
+    let nodes = Nodes::start();
+    let [staying, removed]: [Json; 2] = nodes.entries("ready").try_into().expect("two nodes");
+    let discovery = Discovery::start(8, vec![staying.clone(), removed]);
+    let router = RouterProcess::start("slow-removal", &config(discovery.address, LONG_DEADLINE));
+    router.wait_for_counter("endpoint_list_revision", 8);
+    let queries = QueryStream::start(router.connect());
+    // The first entry takes some 4 s, and the end of the list comes long after the time limit.
+    discovery.set_pace(WatchPace::Pieces(20, Duration::from_millis(500)));
+    discovery.set_down(true);
+    router.wait_for_counter("discovery_failures", 1);
+    let further_entry = |id| member(id, &nodes.staying.address.to_string(), "z", 0, "ready", 0);
+    discovery.replace(vec![staying, further_entry("c"), further_entry("d"), further_entry("e")]);
+    let changed_at = Instant::now();
+    discovery.set_down(false);
+    let last_allowed_arrival = changed_at + DELIVERED_AFTER_CHANGE + GRACE;
+    std::thread::sleep(DELIVERED_AFTER_CHANGE + GRACE + Duration::from_secs(1));
+    assert_eq!(router.counter("endpoint_list_revision"), 8, "the list is incomplete");
+    drop(queries);
+    let log = router.terminate();
+    assert!(nodes.staying.arrivals_after(last_allowed_arrival) > 0, "queries were sent all the time: {log}");
+    assert_eq!(nodes.draining.arrivals_after(last_allowed_arrival), 0, "requests at the removed node: {log}");
+}
--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -110,6 +110,8 @@
     endpoint_lists_stale,
     /// Endpoint lists and updates with a lower revision than an earlier one, which made no node ready.
     endpoint_lists_older,
+    /// Times at which entries of an incomplete endpoint list or update were applied.
+    endpoint_lists_partial,
     /// The revision of the last endpoint list or update that was applied.
     endpoint_list_revision,
     /// Watches that were restarted because no complete message followed the previous one in time.
--- a/crates/query-router/src/protocol/json_stream.rs
+++ b/crates/query-router/src/protocol/json_stream.rs
@@ -7,6 +7,9 @@
 /// Maximum size of an endpoint list in bytes: enough for several thousand pretty-printed entries.
 pub const MAX_ENDPOINT_LIST_BYTES: usize = 2 * 1024 * 1024;
 
+/// Nesting depth within an element of an array at the top level of an object.
+const ELEMENT_DEPTH: usize = 3;
+
 /// The next item in the stream.
 #[derive(Debug, PartialEq, Eq)]
 pub enum JsonStreamItem {
@@ -53,6 +56,9 @@
     /// Number of scanned bytes at the start of the buffer.
     scanned: usize,
     state: ScanState,
+    /// Number of bytes of the incomplete object up to the end of its last complete element: an object in an array of the
+    /// object. 0 if there is none.
+    last_element_end: usize,
 }
 
 impl JsonStream {
@@ -66,6 +72,20 @@
         self.state != ScanState::Between
     }
 
+    /// Returns the number of bytes of the incomplete object up to the end of its last complete element; 0 if it has none.
+    pub fn partial_object_length(&self) -> usize {
+        if self.is_inside_object() { self.last_element_end } else { 0 }
+    }
+
+    /// Returns the incomplete object up to its last complete element, closed so that it is valid JSON if that element is
+    /// in an array at its top level. `None` if there is no such element.
+    pub fn partial_object(&self) -> Option<Vec<u8>> {
+        match self.partial_object_length() {
+            0 => None,
+            length => Some([&self.buffer[..length], b"]}"].concat()),
+        }
+    }
+
     /// Scans up to the end of the next object or blank line.
     ///
     /// # Errors
@@ -108,6 +128,7 @@
             b'{' => {
                 self.buffer.drain(..self.scanned - 1);
                 self.scanned = 1;
+                self.last_element_end = 0;
                 self.state = ScanState::Inside { depth: 1 };
                 Ok(None)
             }
@@ -124,6 +145,9 @@
             b'}' | b']' => ScanState::Inside { depth: depth - 1 },
             _ => return None,
         };
+        if byte == b'}' && depth == ELEMENT_DEPTH {
+            self.last_element_end = self.scanned;
+        }
         (self.state == ScanState::Between).then(|| self.take_object())
     }
 
--- a/crates/query-router/src/router/connection/discovery.rs
+++ b/crates/query-router/src/router/connection/discovery.rs
@@ -325,6 +325,18 @@
         self.partial_object_since
     }
 
+    /// Returns an update of a watch that was received in part, up to its last complete entry and with its brackets
+    /// closed; `None` if it has no complete entry.
+    pub fn partial_object(&self) -> Option<Vec<u8>> {
+        self.objects.partial_object()
+    }
+
+    /// Returns the number of bytes of an update that was received in part, up to its last complete entry; 0 if it has
+    /// none.
+    pub fn partial_object_length(&self) -> usize {
+        self.objects.partial_object_length()
+    }
+
     /// Handles an orderly close by discovery, which completes a body without a length.
     pub fn closed_by_peer(&mut self) {
         if self.framing == Some(BodyFraming::UntilClose) {
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -2,6 +2,7 @@
 //! updates.
 
 mod backoff;
+mod partial_list;
 mod store;
 mod watches;
 
@@ -15,6 +16,7 @@
 use crate::router::context::Context;
 use backoff::WatchBackoff;
 use balancer::{DiscoveryMode, EndpointUpdate, Micros};
+use partial_list::PartialList;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use watches::Watches;
@@ -42,6 +44,8 @@
     /// The time at which lists with an older revision are accepted, if such a list came last.
     accept_older_at: Option<Micros>,
     watches: Watches,
+    /// The incomplete update that is in use, if there is one.
+    partial_list: Option<PartialList>,
     backoff: WatchBackoff,
     /// The names of the zones by index, as configured.
     zones: Vec<String>,
@@ -61,6 +65,7 @@
             newest_revision: 0,
             accept_older_at: None,
             watches: Watches::new(max_connections),
+            partial_list: None,
             backoff: WatchBackoff::new(config),
             zones: config.settings.zones.clone(),
             unreported_failures: 0,
--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -14,7 +14,7 @@
 
 /// How the revision of a list compares with the newest one that discovery has sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum RevisionOrder {
+pub(super) enum RevisionOrder {
     /// No list had a higher revision.
     Newest,
     /// A list with a higher revision came before.
@@ -87,7 +87,9 @@
         self.start_watch(context);
     }
 
-    fn store_entry(&self, context: &mut Context, member: &Json, order: RevisionOrder) -> Option<Endpoint> {
+    pub(super) fn store_entry(
+        &self, context: &mut Context, member: &Json, order: RevisionOrder,
+    ) -> Option<Endpoint> {
         let Some(mut entry) = EndpointEntry::parse(member) else {
             tracing::warn!(entry = %member, "invalid endpoint entry skipped");
             return None;
@@ -98,14 +100,16 @@
         }
         let zone = self.zones.iter().position(|name| name == entry.zone).unwrap_or(self.zones.len());
         let node = context.endpoints.store(context.now, &entry);
-        Some(Endpoint {
+        let endpoint = Endpoint {
             node,
             zone,
             replica_set: entry.replica_set,
             state: entry.state,
             scale: entry.scale,
             started_at: context.endpoints[node].started_at(),
-        })
+        };
+        context.endpoints.set_reported(endpoint);
+        Some(endpoint)
     }
 }
 
--- a/crates/query-router/src/router/discovery/watches.rs
+++ b/crates/query-router/src/router/discovery/watches.rs
@@ -54,6 +54,16 @@
         self.current == Some(id)
     }
 
+    /// Returns whether this watch is open.
+    pub fn contains(&self, id: ConnectionId) -> bool {
+        self.ids().any(|open| open == id)
+    }
+
+    /// Returns all open watches.
+    pub fn ids(&self) -> impl Iterator<Item = ConnectionId> + '_ {
+        self.current.iter().chain(&self.pending).copied()
+    }
+
     fn len(&self) -> usize {
         self.pending.len() + usize::from(self.current.is_some())
     }
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoints that discovery has listed: their addresses and states, and the connections to each.
 
 use crate::io::ConnectionId;
-use balancer::{EndpointState, Micros, NodeId};
+use balancer::{Endpoint, EndpointState, Micros, NodeId};
 use settings_schema::{EndpointEntry, IdInterner, NodeStart, StartTimes};
 use std::net::SocketAddr;
 use std::ops::{Index, IndexMut};
@@ -15,6 +15,10 @@
     pub ready: bool,
     /// The time since which the node is not ready; `None` while it is ready or was never listed.
     not_ready_since: Option<Micros>,
+    /// The last entry of the node as reported to the balancer; `None` until an update has listed the node.
+    reported: Option<Endpoint>,
+    /// Whether the node counts as not ready only because a list that arrives slowly has not named it yet.
+    unconfirmed: bool,
     /// The start time of the node's process; `None` until an endpoint update has listed the node.
     start: Option<NodeStart>,
     /// The number of the last update that listed the node.
@@ -98,11 +102,44 @@
             tracing::debug!(node = index, id = %entry.id, state = ?entry.state, "endpoint state changed");
         }
         record.start = Some(self.start_times.convert(now, entry.reported_start, record.start));
+        record.unconfirmed = false;
         record.last_update = self.update_number;
         record.released = false;
         NodeId(index)
     }
 
+    /// Records the entry of a node as reported to the balancer.
+    pub fn set_reported(&mut self, endpoint: Endpoint) {
+        self[endpoint.node].reported = Some(endpoint);
+    }
+
+    /// Takes the ready nodes that the current update has not listed out of use until they are confirmed. Returns them
+    /// as they are to be reported.
+    pub fn suspend_unlisted(&mut self, now: Micros) -> Vec<Endpoint> {
+        let update_number = self.update_number;
+        let unlisted = self.records.iter_mut().filter(|record| record.ready);
+        unlisted
+            .filter(|record| record.last_update != update_number)
+            .filter_map(|record| {
+                record.set_ready(now, false);
+                record.unconfirmed = true;
+                record.reported.map(|endpoint| Endpoint { state: EndpointState::Draining, ..endpoint })
+            })
+            .collect()
+    }
+
+    /// Makes the suspended nodes ready again. Returns them as they are to be reported.
+    pub fn resume_suspended(&mut self, now: Micros) -> Vec<Endpoint> {
+        let suspended = self.records.iter_mut().filter(|record| record.unconfirmed);
+        suspended
+            .filter_map(|record| {
+                record.set_ready(now, true);
+                record.unconfirmed = false;
+                record.reported
+            })
+            .collect()
+    }
+
     /// Records the current time by the clock of discovery, to which reported start times refer.
     pub fn set_discovery_time(&mut self, now: Micros, discovery_time: Micros) {
         self.start_times.discovery_time_received(now, discovery_time);
@@ -116,6 +153,7 @@
     /// Ends a full update: endpoints that it does not list are no longer ready.
     pub fn finish_full_update(&mut self, now: Micros) {
         for (node, record) in self.records.iter_mut().enumerate() {
+            record.unconfirmed = false;
             if record.set_ready(now, record.ready && record.last_update == self.update_number) {
                 tracing::debug!(node, "endpoint no longer listed");
             }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -164,7 +164,10 @@
         match self.state.context.connections.kind(id) {
             Some(ConnectionKind::Client) => self.client_received(id, bytes),
             Some(ConnectionKind::Node) => self.node_received(id, bytes),
-            Some(ConnectionKind::Discovery) => self.discovery_received(id, bytes),
+            Some(ConnectionKind::Discovery) => {
+                self.discovery_received(id, bytes);
+                self.apply_partial_list();
+            }
             None => {}
         }
     }
@@ -196,6 +199,7 @@
             Some(ConnectionKind::Discovery) => {
                 let outcome = discovery.ended(context, id);
                 self.discovery_request_ended(id, outcome);
+                self.apply_partial_list();
             }
             None => {}
         }
@@ -206,6 +210,7 @@
         while let Some(timer) = self.state.context.timers.pop_expired(now) {
             self.timer_expired(timer);
         }
+        self.apply_partial_list();
     }
 
     fn timer_expired(&mut self, timer: Timer) {
@@ -253,6 +258,7 @@
         if discovery.set_address(context, address) {
             self.balancer.discovery_address_changed(context.now);
             self.decision_needed = true;
+            self.apply_partial_list();
         }
     }
 
--- a/crates/query-router/src/router/reports.rs
+++ b/crates/query-router/src/router/reports.rs
@@ -7,7 +7,9 @@
 use crate::router::node_connections::NodeReport;
 use crate::router::query_table::FinishedAttempt;
 use crate::router::state::State;
-use balancer::{AttemptEnd, EndpointUpdate, Events, HealthCheckEnd, LoadMetric, NodeId, ShardRequestArrival};
+use balancer::{
+    AttemptEnd, Endpoint, EndpointUpdate, Events, HealthCheckEnd, LoadMetric, NodeId, ShardRequestArrival,
+};
 
 impl Router {
     /// Reports a query and its shard requests to the balancer.
@@ -68,13 +70,28 @@
         self.decision_needed = true;
     }
 
-    /// Applies an endpoint list and reports it to the balancer entry by entry.
+    /// Applies an endpoint list and reports it to the balancer.
     pub(super) fn apply_endpoint_list(&mut self, list: &EndpointList) {
-        let State { context, queries, dispatcher, discovery, .. } = &mut self.state;
-        let now = context.now;
+        let State { context, discovery, .. } = &mut self.state;
         let endpoints = discovery.store(context, list);
-        self.balancer.endpoint_update_started(now, list.update);
-        for endpoint in &endpoints {
+        self.report_endpoints(list.update, &endpoints);
+    }
+
+    /// Applies the entries of endpoint lists that are incomplete, as far as they may be.
+    pub(super) fn apply_partial_list(&mut self) {
+        let State { context, discovery, .. } = &mut self.state;
+        let endpoints = discovery.apply_partial_list(context);
+        if !endpoints.is_empty() {
+            self.report_endpoints(EndpointUpdate::Incremental, &endpoints);
+        }
+    }
+
+    /// Reports an endpoint update to the balancer entry by entry, and applies it to the connections of the nodes.
+    fn report_endpoints(&mut self, update: EndpointUpdate, endpoints: &[Endpoint]) {
+        let State { context, queries, dispatcher, .. } = &mut self.state;
+        let now = context.now;
+        self.balancer.endpoint_update_started(now, update);
+        for endpoint in endpoints {
             self.balancer.endpoint_listed(now, endpoint);
         }
         for node in 0..context.endpoints.len() {
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -11,9 +11,10 @@
         "size": 1.0, "up_since_ms": 0})
 }
 
-/// Returns a list as one line of a watch.
+/// Returns a list as one line of a watch, with the fields in the order of the protocol.
 fn list(revision: u64, complete: bool, members: &[Json]) -> String {
-    json!({"revision": revision, "complete": complete, "members": members}).to_string() + "\n"
+    let members = Json::from(members);
+    format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
 /// Returns the head of a response to a watch, followed by this text in one chunk.
@@ -110,3 +111,81 @@
         assert_eq!(rig.ready_endpoints(), 1);
     }
 }
+
+/// Returns a router that has received a list with both nodes at revision 50 and whose watch has ended since. Its next
+/// watch has received the start of the next list, up to this text.
+fn router_with_partial_list(next_list: &str, received: &str) -> (Rig<RecordingPeers>, ConnectionId) {
+    let mut rig = Rig::with_config(&config("ask"));
+    answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.end_connection(watch, 0);
+    time_to_next_watch(&mut rig);
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.step(Event::Established(watch));
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", next_list.len());
+    let end = next_list.find(received).expect("the text is in the list") + received.len();
+    rig.receive(watch, (head + &next_list[..end]).as_bytes());
+    (rig, watch)
+}
+
+/// Lets bytes of a number arrive at the start of the next entry until this time has passed.
+fn let_bytes_arrive(rig: &mut Rig<RecordingPeers>, watch: ConnectionId, span: Micros) {
+    let end = rig.now + span;
+    while rig.now < end {
+        rig.decide_and_advance(100_000);
+        rig.receive(watch, b"1");
+    }
+}
+
+/// Guards against a drain that stands in a list whose rest arrives slowly.
+#[test]
+fn a_drain_in_an_incomplete_update_is_applied_before_the_rest_arrives() {
+    for complete in [true, false] {
+        let update = list(51, complete, &[entry("b", "draining"), entry("a", "ready")]);
+        let (mut rig, watch) = router_with_partial_list(&update, r#""up_since_ms":0},{"cell":"#);
+        let_bytes_arrive(&mut rig, watch, 600_000);
+        assert_eq!((rig.ready_endpoints(), rig.router.counters().endpoint_lists_partial), (1, 1));
+    }
+}
+
+/// Guards against a node that a full list leaves out while the list arrives so slowly that its end comes too late.
+#[test]
+fn a_node_that_a_slow_full_list_has_not_named_is_suspended_until_the_list_ends() {
+    let update = list(51, true, &[entry("a", "ready"), entry("c", "ready")]);
+    let start = r#""up_since_ms":0},{"cell":"#;
+    let (mut rig, watch) = router_with_partial_list(&update, start);
+    let_bytes_arrive(&mut rig, watch, 3_400_000);
+    assert_eq!(rig.ready_endpoints(), 2);
+    let_bytes_arrive(&mut rig, watch, 200_000);
+    assert_eq!(rig.ready_endpoints(), 1);
+    let client = rig.send_query("look", "t1");
+    assert_eq!(rig.establish_last().1, 71, "the query goes to the node that the list has named");
+    assert!(rig.written(client).is_empty());
+    // The list never ends and another watch states that nothing has changed: the suspended node is ready again.
+    let other =
+        rig.peers.outgoing.iter().rfind(|outgoing| outgoing.port == DISCOVERY_PORT && outgoing.id != watch);
+    let other = other.expect("another watch").id;
+    rig.step(Event::Established(other));
+    rig.receive(other, response("\n").as_bytes());
+    assert_eq!(rig.ready_endpoints(), 2);
+    assert!(rig.peers.closed.contains(&watch));
+}
+
+/// Guards against nodes that stay suspended after the list that suspended them is lost or complete.
+#[test]
+fn a_suspended_node_is_ready_again_unless_the_complete_list_leaves_it_out() {
+    let update = list(51, true, &[entry("a", "ready"), entry("c", "ready")]);
+    let start = r#""up_since_ms":0},{"cell":"#;
+    for is_completed in [true, false] {
+        let (mut rig, watch) = router_with_partial_list(&update, start);
+        let_bytes_arrive(&mut rig, watch, 3_600_000);
+        assert_eq!(rig.ready_endpoints(), 1);
+        if is_completed {
+            rig.receive(watch, b",\"x\":0}]}\n");
+        } else {
+            rig.end_connection(watch, 0);
+        }
+        let is_ready = |id: &str| rig.router.state.context.endpoints.is_ready(id);
+        assert_eq!((is_ready("a"), is_ready("b")), (true, !is_completed), "completed: {is_completed}");
+    }
+}
--- a/crates/test-servers/src/discovery/connection.rs
+++ b/crates/test-servers/src/discovery/connection.rs
@@ -41,7 +41,12 @@
 
 fn full_list(state: &State) -> String {
     let members: Vec<&Json> = state.members.values().collect();
-    json!({"revision": state.revision, "complete": true, "members": members}).to_string() + "\n"
+    message(state.revision, true, json!(members))
+}
+
+/// Formats a message of a watch, with the fields in the order of the protocol.
+fn message(revision: u64, complete: bool, members: Json) -> String {
+    format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
 /// A watch, which receives each update as one line in its own chunk.
@@ -99,8 +104,7 @@
 
     fn send_update(&mut self, update: &Update) -> io::Result<()> {
         let Update { revision, members } = update;
-        let line = json!({"revision": revision, "complete": false, "members": members}).to_string() + "\n";
-        self.write_chunk(&line)?;
+        self.write_chunk(&message(*revision, false, json!(members)))?;
         self.revision = *revision;
         self.shared.modify(|state| state.updates_sent += 1);
         Ok(())
