Soak: crowded and trickling discovery; changes count as delivered 4 s after a reload

The soak did not see the faults of the incident: discovery was down, silent or 0.7 s late, and drains were judged by 6 s in the normal mode alone. Discovery now also refuses every other request, or writes watches in pieces of 60 bytes, and counts as reachable while it does or is slow; 4 s after a reload what it has counts as delivered.

--- a/crates/soak/src/checker/nodes.rs
+++ b/crates/soak/src/checker/nodes.rs
@@ -13,25 +13,43 @@
 /// How long after discovery became reachable a change counts as delivered at the latest.
 const DELIVERY_TIMEOUT: Micros = 6 * SECOND;
 
+/// How long after a reload what the new address of discovery has counts as delivered, if discovery is reachable.
+const DELIVERY_TIMEOUT_AFTER_RELOAD: Micros = 4 * SECOND;
+
 impl Checker<'_> {
     /// Returns from which time a change counts as delivered to a router: when discovery sent it, or after
-    /// [`DELIVERY_TIMEOUT`] of reachable discovery if that is earlier.
+    /// [`DELIVERY_TIMEOUT`] of reachable discovery, or [`DELIVERY_TIMEOUT_AFTER_RELOAD`] after a reload, whichever is
+    /// earliest.
     fn delivered_at(&self, router: usize, change: &EndpointChange) -> Option<Micros> {
         let delivered = self.cluster.discovery.sent_at(router, change.revision);
-        let reachable = self.reachable_from(change.at).map(|from| from + DELIVERY_TIMEOUT);
-        delivered.into_iter().chain(reachable).min()
+        let reachable = self.reachable_from(change.at, DELIVERY_TIMEOUT).map(|from| from + DELIVERY_TIMEOUT);
+        let reloaded = self.reload_after(router, change.at).map(|at| at + DELIVERY_TIMEOUT_AFTER_RELOAD);
+        delivered.into_iter().chain(reachable).chain(reloaded).min()
+    }
+
+    /// Returns the first time, not before `since`, from which discovery was reachable for `span`.
+    fn reachable_from(&self, since: Micros, span: Micros) -> Option<Micros> {
+        let modes = &self.cluster.discovery_modes;
+        let unreachable = modes.iter().filter(|(_, mode)| !mode.is_reachable()).map(|(at, _)| *at);
+        let starts = modes.iter().filter(|(at, mode)| *at > since && mode.is_reachable()).map(|(at, _)| *at);
+        let mode_at_since = modes.iter().rfind(|(at, _)| *at <= since).map(|(_, mode)| *mode);
+        let first = mode_at_since.is_some_and(DiscoveryMode::is_reachable).then_some(since);
+        let interruptions: Vec<Micros> = unreachable.collect();
+        let is_reachable =
+            |from: &Micros| !interruptions.iter().any(|at| (*from..from.saturating_add(span)).contains(at));
+        first.into_iter().chain(starts).find(is_reachable)
     }
 
-    /// Returns the first time, not before `since`, from which discovery was reachable for [`DELIVERY_TIMEOUT`].
-    fn reachable_from(&self, since: Micros) -> Option<Micros> {
-        let discovery_modes = &self.cluster.discovery_modes;
-        let ends = discovery_modes.iter().skip(1).map(|(at, _)| *at).chain([Micros::MAX]);
-        let mut periods =
-            discovery_modes.iter().zip(ends).filter(|((_, mode), _)| *mode == DiscoveryMode::Normal);
-        periods.find_map(|(&(from, _), until)| {
-            let from = from.max(since);
-            (until >= from.saturating_add(DELIVERY_TIMEOUT)).then_some(from)
-        })
+    /// Returns the time of the first reload of a router, not before `since`, after which discovery was reachable and no
+    /// other reload followed for [`DELIVERY_TIMEOUT_AFTER_RELOAD`].
+    fn reload_after(&self, router: usize, since: Micros) -> Option<Micros> {
+        let reloads = self.cluster.reloads.iter().filter(|(_, of)| *of == router).map(|(at, _)| *at);
+        let reloads: Vec<Micros> = reloads.collect();
+        let is_followed = |at: Micros| {
+            reloads.iter().any(|&later| later > at && later < at + DELIVERY_TIMEOUT_AFTER_RELOAD)
+        };
+        let is_reachable = |at: Micros| self.reachable_from(at, DELIVERY_TIMEOUT_AFTER_RELOAD) == Some(at);
+        reloads.iter().copied().find(|&at| at >= since && !is_followed(at) && is_reachable(at))
     }
 
     /// Checks that draining and removed nodes get no new requests.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -73,6 +73,8 @@
     pub discovery: Discovery,
     /// The modes of discovery with the times at which they began, in order.
     pub discovery_modes: Vec<(Micros, DiscoveryMode)>,
+    /// The reloads with a complete configuration: time and router.
+    pub reloads: Vec<(Micros, usize)>,
     /// The changes that discovery published, in order.
     pub published: Vec<EndpointChange>,
     pub node_delays: Vec<NodeDelay>,
@@ -106,6 +108,7 @@
             discovery_addresses: (0..size.routers).map(listen).collect(),
             discovery,
             discovery_modes: vec![(now(), DiscoveryMode::Normal)],
+            reloads: Vec::new(),
             published: Vec::new(),
             node_delays: Vec::new(),
             router_delays: Vec::new(),
@@ -185,6 +188,7 @@
         self.current_address[router] = 1 - self.current_address[router];
         self.routers[router].write_config(&self.config(router));
         self.routers[router].signal(Signal::HUP);
+        self.reloads.push((now(), router));
     }
 
     /// Reloads a router while its configuration file is half written.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -14,6 +14,11 @@
 /// Interval at which a watch checks for changes.
 const WATCH_STEP_MS: u64 = 10;
 
+/// Number of bytes of a watch's message that discovery sends at a time while it is [`DiscoveryMode::Trickling`].
+const TRICKLE_BYTES: usize = 60;
+/// Pause after each of these pieces.
+const TRICKLE_PAUSE_MS: u64 = 300;
+
 /// How discovery responds to routers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DiscoveryMode {
@@ -26,11 +31,30 @@
     Silent,
     /// New requests get a late response; open watches go on as normal.
     Slow,
+    /// Every other request gets status 503; open watches go on as normal.
+    Crowded,
+    /// Messages of watches arrive in small pieces.
+    Trickling,
+}
+
+impl DiscoveryMode {
+    /// Returns whether routers can reach discovery, so that what it has counts as delivered after a while.
+    pub fn is_reachable(self) -> bool {
+        match self {
+            DiscoveryMode::Normal
+            | DiscoveryMode::Slow
+            | DiscoveryMode::Crowded
+            | DiscoveryMode::Trickling => true,
+            DiscoveryMode::Down | DiscoveryMode::Silent => false,
+        }
+    }
 }
 
 #[derive(Default)]
 struct State {
     mode: DiscoveryMode,
+    /// Number of requests received.
+    requests: u64,
     /// Time since which discovery works normally; `None` while it does not.
     available_since: Option<Micros>,
     revision: u64,
@@ -123,8 +147,18 @@
         let _ = stream.set_nodelay(true);
         let mut line = String::new();
         BufReader::new(stream.try_clone()?).read_line(&mut line)?;
-        let mode = self.lock().mode;
+        let (mode, requests) = {
+            let mut state = self.lock();
+            state.requests += 1;
+            (state.mode, state.requests)
+        };
         match mode {
+            DiscoveryMode::Crowded if requests.is_multiple_of(2) => {
+                return write!(
+                    stream,
+                    "HTTP/1.1 503 Crowded\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                );
+            }
             DiscoveryMode::Down => {
                 return write!(stream, "HTTP/1.1 503 Down\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
             }
@@ -135,7 +169,7 @@
                 return Ok(());
             }
             DiscoveryMode::Slow => sleep_ms(700),
-            DiscoveryMode::Normal => {}
+            DiscoveryMode::Normal | DiscoveryMode::Crowded | DiscoveryMode::Trickling => {}
         }
         if line.contains("watch=1") {
             let after = line.split("after=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
@@ -151,6 +185,18 @@
         Ok(())
     }
 
+    /// Writes a message of a watch, in pieces for as long as discovery is [`DiscoveryMode::Trickling`].
+    fn write_message(&self, stream: &mut TcpStream, message: &str) -> std::io::Result<()> {
+        let mut rest = message;
+        while self.lock().mode == DiscoveryMode::Trickling && rest.len() > TRICKLE_BYTES {
+            let (piece, next) = rest.split_at(TRICKLE_BYTES);
+            write_chunk(stream, piece)?;
+            sleep_ms(TRICKLE_PAUSE_MS);
+            rest = next;
+        }
+        write_chunk(stream, rest)
+    }
+
     fn watch(&self, mut stream: TcpStream, router: usize, mut revision: u64) -> std::io::Result<()> {
         write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let resets = self.lock().resets;
@@ -173,10 +219,13 @@
                     sleep_ms(20_000);
                     return Ok(());
                 }
-                DiscoveryMode::Slow | DiscoveryMode::Normal => {}
+                DiscoveryMode::Slow
+                | DiscoveryMode::Normal
+                | DiscoveryMode::Crowded
+                | DiscoveryMode::Trickling => {}
             }
             if let Some(message) = message {
-                write_chunk(&mut stream, &message)?;
+                self.write_message(&mut stream, &message)?;
                 self.record_sent(router, newest);
                 (revision, is_first, idle_ms) = (newest, false, 0);
             } else if idle_ms >= HEARTBEAT_INTERVAL_MS {
@@ -193,14 +242,21 @@
 /// endpoint list if `revision` is even.
 fn next_message(state: &State, revision: u64, is_first: bool) -> Option<String> {
     if is_first && revision.is_multiple_of(2) {
-        return Some(full_list(state).to_string() + "\n");
+        let members: Vec<&Json> = state.members.values().collect();
+        return Some(message(state.revision, true, &members));
     }
     let changed: Vec<&Json> =
         state.changes.iter().filter(|(at, _, _)| *at > revision).map(|(_, _, entry)| entry).collect();
     if changed.is_empty() && !is_first {
         return None;
     }
-    Some(json!({"revision": state.revision, "complete": false, "members": changed}).to_string() + "\n")
+    Some(message(state.revision, false, &changed))
+}
+
+/// Formats a message of a watch, with the fields in the order of the protocol.
+fn message(revision: u64, complete: bool, members: &[&Json]) -> String {
+    let members = json!(members);
+    format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
 fn full_list(state: &State) -> Json {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -242,11 +242,17 @@
     }
 
     fn add_discovery_disruption(&mut self, duration: i64) {
-        match self.rng.u32(0..4) {
+        let modes = [
+            DiscoveryMode::Down,
+            DiscoveryMode::Silent,
+            DiscoveryMode::Slow,
+            DiscoveryMode::Crowded,
+            DiscoveryMode::Trickling,
+        ];
+        match self.rng.usize(0..=modes.len()) {
             0 => self.schedule_after(0, Action::ResetWatches),
             mode => {
-                let mode =
-                    [DiscoveryMode::Down, DiscoveryMode::Silent, DiscoveryMode::Slow][mode as usize - 1];
+                let mode = modes[mode - 1];
                 self.schedule_after(0, Action::SetDiscoveryMode(mode));
                 self.schedule_after(2 * duration, Action::SetDiscoveryMode(DiscoveryMode::Normal));
             }
--- a/crates/test-servers/tests/servers.rs
+++ b/crates/test-servers/tests/servers.rs
@@ -84,7 +84,7 @@
     discovery.publish(vec![member("a", "127.0.0.1:9001", "z", 0, "gone", 0)]);
     assert!(
         fetch(discovery.address, "GET /api/targets HTTP/1.1\r\n\r\n")
-            .ends_with(&(json!({"revision": 4, "complete": true, "members": []}).to_string() + "\n"))
+            .ends_with("{\"revision\":4,\"complete\":true,\"members\":[]}\n")
     );
 }
 
