Discovery is read before other connections of the same iteration

After a time in which the process was held up, a write that had been blocked could go on before the drain of its node was read, although both had been ready. Requests to discovery are now handled first, then established connections, then those being established. The order has a test; the crossing itself was found by reading and not played: it needs a full send buffer and a hold-up beyond the grace.

--- a/crates/query-router/src/event_loop/iteration.rs
+++ b/crates/query-router/src/event_loop/iteration.rs
@@ -11,6 +11,18 @@
 /// Maximum number of reads from one connection per iteration, so that a fast sender cannot starve other connections.
 const MAX_READS_PER_ITERATION: usize = 4;
 
+/// The order in which the ready connections are handled in one iteration, which may come long after their events.
+/// Otherwise a request could be sent although, in the same iteration, its node began to drain or its client disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// Requests to discovery: a drain cancels what waits for room to write or for a connection.
+    Discovery,
+    /// Other established connections.
+    Connected,
+    /// Connections that are being established.
+    Connecting,
+}
+
 impl Server {
     /// Returns the maximum time to wait for events; `None` (no limit) if no timer is set.
     pub(super) fn poll_timeout(&self) -> Option<Duration> {
@@ -43,19 +55,24 @@
         }
     }
 
-    /// Handles established connections before those that are being established. Otherwise a request could be sent on a
-    /// connection established in this iteration although, in the same iteration, its client disconnected or its node
-    /// began to drain.
+    /// Handles the connections in the order of [`Turn`].
     fn handle_ready_connections(&mut self) {
-        let ready = std::mem::take(&mut self.ready);
-        let (connected, connecting): (Vec<_>, Vec<_>) = ready
-            .into_iter()
-            .partition(|&(connection, _)| self.socket(connection).is_some_and(Socket::is_connected));
-        for (connection, readiness) in connected.into_iter().chain(connecting) {
+        let mut ready = std::mem::take(&mut self.ready);
+        ready.sort_by_key(|&(connection, _)| self.turn(connection));
+        for (connection, readiness) in ready {
             self.handle_readiness(connection, readiness);
         }
     }
 
+    pub(super) fn turn(&self, connection: ConnectionId) -> Turn {
+        let is_connected = self.socket(connection).is_some_and(Socket::is_connected);
+        match is_connected {
+            true if self.router.is_discovery(connection) => Turn::Discovery,
+            true => Turn::Connected,
+            false => Turn::Connecting,
+        }
+    }
+
     fn handle_readiness(&mut self, connection: ConnectionId, readiness: Readiness) {
         let Some(socket) = self.socket_mut(connection) else { return };
         if !socket.is_connected() {
--- a/crates/query-router/src/event_loop/tests.rs
+++ b/crates/query-router/src/event_loop/tests.rs
@@ -16,7 +16,7 @@
     server: Server,
     address: SocketAddr,
     node: TcpListener,
-    _discovery: TcpListener,
+    discovery: TcpListener,
 }
 
 impl TestRouter {
@@ -41,7 +41,7 @@
         let signals = block_signals().expect("blocking the signals");
         let (event_loop, server) = start(signals, config, String::new()).expect("starting the router");
         let address = server.listener.local_address().expect("an address");
-        TestRouter { event_loop, server, address, node, _discovery: discovery }
+        TestRouter { event_loop, server, address, node, discovery }
     }
 
     /// Runs iterations until `condition` holds. Panics with `failure` after [`MAX_WAIT`].
@@ -191,3 +191,17 @@
         assert_eq!(router.server.router.counters().attempts_not_sent, 1);
     }
 }
+
+/// Guards against a blocked write that goes on before the drain of its node is read, after a time without iterations.
+#[test]
+fn discovery_is_handled_before_the_other_connections_of_an_iteration() {
+    let mut router = TestRouter::new();
+    let mut client = router.connect();
+    client.write_all(query("t1").as_bytes()).expect("writing to the router");
+    let mut node_connection = router.accept_at_node();
+    assert!(router.read_frame(&mut node_connection).starts_with("t1.0 "));
+    let discovery_address = router.discovery.local_addr().expect("an address");
+    let node = router.connection_to(router.node.local_addr().expect("an address"));
+    let discovery = router.connection_to(discovery_address);
+    assert!(router.server.turn(discovery) < router.server.turn(node));
+}
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -79,6 +79,11 @@
         &self.state.context.counters
     }
 
+    /// Returns whether a connection is a request to discovery.
+    pub fn is_discovery(&self, id: ConnectionId) -> bool {
+        self.state.context.connections.kind(id) == Some(ConnectionKind::Discovery)
+    }
+
     /// Processes one event.
     pub fn step(&mut self, now: Micros, event: Event) {
         self.state.context.now = now;
