Control plane: older lists do not undo drains, and a line that never ends is given up

The same class of fault in the control plane: it took a list of any revision, so a replica of discovery that lags behind undid a drain for every proxy; an update that progressed for ever kept it from newer lists; and an address that changed while no watch was open was asked for changes after a revision of the old one.

--- a/crates/control-plane/src/discovery_watch.rs
+++ b/crates/control-plane/src/discovery_watch.rs
@@ -1,6 +1,12 @@
 //! The client side of a discovery watch: a single request whose response contains the endpoint list and then each
 //! change of it, one per line, until the connection closes.
 
+mod revisions;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use revisions::Revisions;
+
 use balancer::EndpointUpdate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -9,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::task::JoinHandle;
@@ -19,6 +25,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without data from discovery after which the watch is ended.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2 * HEARTBEAT_INTERVAL.as_secs());
+/// Time after which a watch is ended although data arrives, if the line is not complete by then.
+const MAX_LINE_TIME: Duration = Duration::from_secs(60);
 /// Maximum length of a line, in bytes.
 const MAX_LINE_LENGTH: usize = 64 << 20;
 
@@ -47,6 +55,10 @@
     UnexpectedStatus(StatusCode),
     #[error("line longer than {MAX_LINE_LENGTH} bytes")]
     LineTooLong,
+    #[error("line not complete within {MAX_LINE_TIME:?}")]
+    LineTooSlow,
+    #[error("revision {revision} is older than revision {newest}, which was received before")]
+    OlderRevision { revision: u64, newest: u64 },
     #[error("line is not valid JSON: {0}")]
     NotJson(#[from] serde_json::Error),
     #[error("field 'complete' is missing or not a boolean")]
@@ -55,28 +67,28 @@
     ReceiverClosed,
 }
 
-/// Opens a watch and sends its updates to `updates` until it ends; returns the reason. `revision` is the revision
-/// after which updates are requested, and is set to that of the last update received.
+/// Opens a watch and sends its updates to `updates` until it ends; returns the reason. The updates after the last of
+/// `revisions` are requested, and those received are recorded there.
 pub(crate) async fn watch(
-    address: SocketAddr, revision: &mut u64, updates: &Sender<EndpointListUpdate>,
+    address: SocketAddr, revisions: &mut Revisions, updates: &Sender<EndpointListUpdate>,
 ) -> WatchError {
-    match read_watch(address, revision, updates).await {
+    match read_watch(address, revisions, updates).await {
         Ok(()) => WatchError::Ended,
         Err(error) => error,
     }
 }
 
 async fn read_watch(
-    address: SocketAddr, revision: &mut u64, updates: &Sender<EndpointListUpdate>,
+    address: SocketAddr, revisions: &mut Revisions, updates: &Sender<EndpointListUpdate>,
 ) -> Result<(), WatchError> {
-    let (mut response, connection) = open_watch(address, *revision).await?;
+    let (mut response, connection) = open_watch(address, revisions.last()).await?;
     let mut buffer = LineBuffer::default();
     let mut position = LinePosition::First;
     while let Some(frame) = with_timeout(response.frame()).await? {
         let Ok(data) = frame?.into_data() else { continue };
         for chunk in data.split_inclusive(|&byte| byte == b'\n') {
-            let Some(line) = buffer.push(chunk)? else { continue };
-            if let Some(update) = parse_line(&line, position, revision)? {
+            let Some(line) = buffer.push(chunk, Instant::now())? else { continue };
+            if let Some(update) = parse_line(&line, position, revisions, Instant::now())? {
                 updates.send(update).await.map_err(|_| WatchError::ReceiverClosed)?;
             }
             position = LinePosition::Later;
@@ -111,16 +123,24 @@
 #[derive(Default)]
 struct LineBuffer {
     partial: Vec<u8>,
+    /// The time at which the incomplete line began; `None` if there is none.
+    started_at: Option<Instant>,
 }
 
 impl LineBuffer {
-    /// Appends a chunk. Returns the line once it is complete.
-    fn push(&mut self, chunk: &[u8]) -> Result<Option<Vec<u8>>, WatchError> {
+    /// Appends a chunk that was received at `now`. Returns the line once it is complete.
+    fn push(&mut self, chunk: &[u8], now: Instant) -> Result<Option<Vec<u8>>, WatchError> {
         self.partial.extend_from_slice(chunk);
+        if now.duration_since(*self.started_at.get_or_insert(now)) > MAX_LINE_TIME {
+            return Err(WatchError::LineTooSlow);
+        }
         if self.partial.len() > MAX_LINE_LENGTH {
             return Err(WatchError::LineTooLong);
         }
         let is_complete = self.partial.ends_with(b"\n");
+        if is_complete {
+            self.started_at = None;
+        }
         Ok(is_complete.then(|| std::mem::take(&mut self.partial)))
     }
 }
@@ -134,7 +154,7 @@
 /// Parses the update in a line. A blank line only shows that discovery works, except as the first line: then
 /// nothing has changed since the requested revision.
 fn parse_line(
-    line: &[u8], position: LinePosition, revision: &mut u64,
+    line: &[u8], position: LinePosition, revisions: &mut Revisions, now: Instant,
 ) -> Result<Option<EndpointListUpdate>, WatchError> {
     let text = line.trim_ascii();
     if text.is_empty() {
@@ -143,7 +163,9 @@
     }
     let list: Json = serde_json::from_slice(text)?;
     let is_complete = list["complete"].as_bool().ok_or(WatchError::MissingCompleteness)?;
-    *revision = list["revision"].as_u64().unwrap_or(*revision);
+    if let Some(revision) = list["revision"].as_u64() {
+        revisions.record(revision, now)?;
+    }
     let update = if is_complete { EndpointUpdate::Full } else { EndpointUpdate::Incremental };
     Ok(Some(EndpointListUpdate { list, update }))
 }
--- a/crates/control-plane/src/server/discovery.rs
+++ b/crates/control-plane/src/server/discovery.rs
@@ -1,6 +1,6 @@
 //! The task that watches discovery on request.
 
-use crate::discovery_watch::{EndpointListUpdate, watch};
+use crate::discovery_watch::{EndpointListUpdate, Revisions, watch};
 use balancer::EndpointUpdate;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
@@ -8,23 +8,31 @@
 use tokio::sync::{Notify, mpsc};
 
 /// Watches discovery each time `requested` is notified, and reports the end of a watch as a failed update. A
-/// notification during a watch starts the next one once the watch has ended. A new address ends the current watch
-/// and starts one there without a known revision, which returns the full list.
+/// notification during a watch starts the next one once the watch has ended. A new address ends the current watch, if
+/// there is one, and the next watch starts at once and requests the full list.
 pub(super) async fn watch_discovery(
     mut address: tokio::sync::watch::Receiver<SocketAddr>, requested: Arc<Notify>,
     updates: mpsc::Sender<EndpointListUpdate>,
 ) {
-    let mut revision = 0;
+    let mut revisions = Revisions::default();
     loop {
-        requested.notified().await;
+        tokio::select! {
+            () = requested.notified() => {}
+            changed = address.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                revisions.request_all();
+            }
+        }
         let current = *address.borrow_and_update();
         let error = tokio::select! {
-            error = watch(current, &mut revision, &updates) => error,
+            error = watch(current, &mut revisions, &updates) => error,
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                revision = 0;
+                revisions.request_all();
                 requested.notify_one();
                 continue;
             }
