--- a/crates/cli/tests/loopback/drains.rs
+++ b/crates/cli/tests/loopback/drains.rs
@@ -197,3 +197,33 @@
     assert!(nodes.staying.arrivals_after(last_allowed_arrival) > 0, "queries were sent all the time: {log}");
     assert_eq!(nodes.draining.arrivals_after(last_allowed_arrival), 0, "requests at the removed node: {log}");
 }
+
+/// Guards against requests that a process sends before it reads a drain that came while it was held up.
+#[test]
+fn process_that_is_held_up_sends_nothing_to_a_node_that_began_to_drain_meanwhile() {
+    for mode in DISCOVERY_MODES {
+        let nodes = Nodes::start();
+        let discovery = Discovery::start(8, nodes.entries("ready"));
+        let router =
+            RouterProcess::start(&format!("held-up-{mode}"), &config_with_mode(discovery.address, mode));
+        router.wait_for_counter("endpoint_list_revision", 8);
+        let started = Instant::now();
+        let queries: Vec<QueryStream> = (0..8).map(|_| QueryStream::start(router.connect())).collect();
+        std::thread::sleep(Duration::from_millis(500));
+        assert!(nodes.draining.arrivals_after(started) > 0, "the node is used before it drains");
+        // The process is idle when it is stopped: what it had decided before could be written after it is resumed.
+        drop(queries);
+        router.pause();
+        discovery.publish(vec![nodes.entries("draining")[1].clone()]);
+        discovery.wait_for_updates_sent(1);
+        let queries: Vec<QueryStream> = (0..8).map(|_| QueryStream::start(router.connect())).collect();
+        std::thread::sleep(2 * GRACE);
+        let resumed_at = Instant::now();
+        router.resume();
+        std::thread::sleep(GRACE);
+        drop(queries);
+        let log = router.terminate();
+        assert!(nodes.staying.arrivals_after(resumed_at) > 0, "queries were sent all the time: {log}");
+        assert_eq!(nodes.draining.arrivals_after(resumed_at), 0, "requests at the draining node: {log}");
+    }
+}
--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -5,6 +5,7 @@
 mod connection_limit;
 mod discovery;
 mod dispatch;
+mod drain_grid;
 mod endpoints;
 mod event_sequences;
 mod node_connections;
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -5,30 +5,30 @@
 use serde_json::{Value as Json, json};
 
 /// Returns an entry of the endpoint list.
-fn entry(id: &str, phase: &str) -> Json {
+pub(super) fn entry(id: &str, phase: &str) -> Json {
     let port = if id == "a" { 71 } else { 72 };
     json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "locality": "z", "cell": 0, "phase": phase,
         "size": 1.0, "up_since_ms": 0})
 }
 
 /// Returns a list as one line of a watch, with the fields in the order of the protocol.
-fn list(revision: u64, complete: bool, members: &[Json]) -> String {
+pub(super) fn list(revision: u64, complete: bool, members: &[Json]) -> String {
     let members = Json::from(members);
     format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
 /// Returns the head of a response to a watch, followed by this text in one chunk.
-fn response(text: &str) -> String {
+pub(super) fn response(text: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
 }
 
 /// Returns the configuration of a router that may have several watches, with this value of `registryMode`.
-fn config(mode: &str) -> String {
+pub(super) fn config(mode: &str) -> String {
     CONFIG.replace("\"sockets\":22", "\"sockets\":128").replace("\"ask\"", &format!("\"{mode}\""))
 }
 
 /// Establishes the last watch that was opened and lets discovery answer it with this text. Returns its request.
-fn answer_watch(rig: &mut Rig<RecordingPeers>, text: &str) -> String {
+pub(super) fn answer_watch(rig: &mut Rig<RecordingPeers>, text: &str) -> String {
     let watch = rig.peers.outgoing.last().expect("a watch").id;
     rig.step(Event::Established(watch));
     let request = rig.written(watch);
@@ -38,7 +38,7 @@
 }
 
 /// Advances the clock until another watch is opened, and returns the time that this takes.
-fn time_to_next_watch(rig: &mut Rig<RecordingPeers>) -> Micros {
+pub(super) fn time_to_next_watch(rig: &mut Rig<RecordingPeers>) -> Micros {
     let (requests, started) = (rig.router.counters().discovery_requests, rig.now);
     while rig.router.counters().discovery_requests == requests {
         rig.decide_and_advance(10_000);
