After a reload, requests to discovery that fail are repeated within the grace

A router whose new discovery answered only some seconds after SIGHUP could ask it up to 2 s later, after the 4.5 s by which a drain has to be kept. For 4 s after a change of the address the delay after a failure is now 0.25 to 0.5 s.

--- a/crates/balancer/src/policy/discovery.rs
+++ b/crates/balancer/src/policy/discovery.rs
@@ -4,9 +4,13 @@
 
 /// Longest delay of the first request after a failure, in microseconds; the shortest is half of it.
 const MIN_BACKOFF: Micros = 1_000_000;
-/// Longest delay of a request after failures, in microseconds. A change counts as delivered 4 s after a change of
-/// discovery's address and 6 s after discovery has recovered, so several requests must fit into that time.
+/// Longest delay of a request after failures, in microseconds. A change counts as delivered 6 s after discovery has
+/// recovered, so several requests must fit into that time.
 const MAX_BACKOFF: Micros = 2_000_000;
+/// Time after a change of discovery's address at which what it has counts as delivered, in microseconds.
+const DELIVERY_AFTER_ADDRESS_CHANGE: Micros = 4_000_000;
+/// Longest delay of a request after a failure during that time, in microseconds.
+const BACKOFF_AFTER_ADDRESS_CHANGE: Micros = 500_000;
 /// Shortest interval between requests that are neither answered nor fail, in microseconds.
 const MIN_REQUEST_INTERVAL: Micros = 1_000_000;
 
@@ -24,7 +28,12 @@
         let discovery = &mut self.discovery;
         discovery.watching = false;
         let failing_for = now - *discovery.failing_since.get_or_insert(now);
-        let max_delay = failing_for.clamp(MIN_BACKOFF, MAX_BACKOFF);
+        let has_moved =
+            discovery.address_changed_at.is_some_and(|at| now - at < DELIVERY_AFTER_ADDRESS_CHANGE);
+        let max_delay = match has_moved {
+            true => BACKOFF_AFTER_ADDRESS_CHANGE,
+            false => failing_for.clamp(MIN_BACKOFF, MAX_BACKOFF),
+        };
         discovery.next_request_at = now + max_delay / 2 + self.random.i64(0..=max_delay / 2);
         let milliseconds = (discovery.next_request_at - now) / 1000;
         actions.log(&format!("discovery unreachable, next request in {milliseconds} ms"));
@@ -37,6 +46,7 @@
         let discovery = &mut self.discovery;
         discovery.watching = false;
         discovery.failing_since = None;
+        discovery.address_changed_at = Some(now);
         discovery.next_request_at = now + request_interval;
     }
 
--- a/crates/balancer/src/policy/tests/discovery.rs
+++ b/crates/balancer/src/policy/tests/discovery.rs
@@ -83,3 +83,18 @@
         assert!(first + second <= 2_100_000, "{first} and {second} us after a change of the address");
     }
 }
+
+/// Guards against drains that are learned too late when the new address of discovery answers only shortly before its
+/// changes count as delivered: a request is made at any time within the grace of 0.5 s that follows.
+#[test]
+fn requests_that_fail_within_four_seconds_of_a_change_of_the_address_are_repeated_within_the_grace() {
+    let mut balancer = balancer(Idempotency::Idempotent);
+    balancer.deployment.poll_interval = Some(10_000_000);
+    balancer.discovery_address_changed(NOW);
+    let mut now = NOW;
+    while now < NOW + 4_000_000 {
+        let delay = delay_after_failure(&mut balancer, now);
+        assert!(delay <= 510_000, "{delay} us, {} us after the change", now - NOW);
+        now += delay;
+    }
+}
--- a/crates/balancer/src/state/discovery_state.rs
+++ b/crates/balancer/src/state/discovery_state.rs
@@ -17,6 +17,8 @@
     /// Time of the first failed update since the last successful one or the last change of discovery's address;
     /// `None` if there was none.
     pub failing_since: Option<Micros>,
+    /// Time of the last change of discovery's address; `None` if there was none.
+    pub address_changed_at: Option<Micros>,
     /// Expiry time of the timer, if it is set.
     pub timer_at: Option<Micros>,
 }
