Control plane: a change of discovery's address also ends the delay after failures

The balancer of the control plane kept the delay that failures at the former address had caused. It is now told of the change like that of a router.

--- a/crates/control-plane/src/control_plane/mod.rs
+++ b/crates/control-plane/src/control_plane/mod.rs
@@ -178,6 +178,11 @@
         self.decide(now, actions);
     }
 
+    /// Handles a change of discovery's address, at which a watch is started.
+    pub fn discovery_address_changed(&mut self, now: Micros) {
+        self.endpoints.discovery_address_changed(now);
+    }
+
     /// Runs a decision of the balancer and pushes resources if the desired state changed.
     fn decide(&mut self, now: Micros, mut actions: RequestedActions) {
         self.endpoints.decide(now, &mut actions);
--- a/crates/control-plane/src/endpoint_table.rs
+++ b/crates/control-plane/src/endpoint_table.rs
@@ -123,6 +123,11 @@
         self.balancer.endpoint_update_finished(now, actions);
     }
 
+    /// Discards what failures at a former address of discovery have delayed.
+    pub fn discovery_address_changed(&mut self, now: Micros) {
+        self.balancer.discovery_address_changed(now);
+    }
+
     /// Parses an entry. Returns `None` if the entry is invalid, or its node is new and the table is full.
     fn parse_entry<'a>(&self, entry: &'a Json) -> Option<EndpointEntry<'a>> {
         let has_room = self.ids.count() < MAX_NODES;
--- a/crates/control-plane/src/server/discovery.rs
+++ b/crates/control-plane/src/server/discovery.rs
@@ -1,5 +1,8 @@
 //! The task that watches discovery on request.
 
+#[cfg(test)]
+mod tests;
+
 use crate::discovery_watch::{EndpointListUpdate, Revisions, watch};
 use balancer::EndpointUpdate;
 use serde_json::Value as Json;
--- a/crates/control-plane/src/server/driver.rs
+++ b/crates/control-plane/src/server/driver.rs
@@ -77,6 +77,11 @@
         self.execute_effects();
     }
 
+    /// Handles a change of discovery's address.
+    pub fn discovery_address_changed(&mut self) {
+        self.control_plane.discovery_address_changed(self.clock.now());
+    }
+
     /// Runs the periodic work of the state machine.
     pub fn tick(&mut self) {
         self.control_plane.tick(self.clock.now());
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -81,14 +81,15 @@
 }
 
 impl ReloadableConfig {
-    /// Reads the configuration again and applies the address of discovery; all other changes need a restart.
-    fn reload(&self) {
-        let Some(path) = &self.path else { return };
+    /// Reads the configuration again and applies the address of discovery; all other changes need a restart. Returns
+    /// whether the address is another one.
+    fn reload(&self) -> bool {
+        let Some(path) = &self.path else { return false };
         let reloaded = match Config::read(path) {
             Ok(reloaded) => reloaded,
             Err(error) => {
                 tracing::warn!(%error, "configuration not reloaded");
-                return;
+                return false;
             }
         };
         let settings = self.config.fields_needing_restart(&reloaded);
@@ -96,7 +97,7 @@
             tracing::warn!(settings = settings.join(", "), "changed configuration fields require a restart");
         }
         self.discovery
-            .send_if_modified(|address| std::mem::replace(address, reloaded.discovery) != reloaded.discovery);
+            .send_if_modified(|address| std::mem::replace(address, reloaded.discovery) != reloaded.discovery)
     }
 }
 
@@ -138,7 +139,11 @@
             Step::ShutDown => break,
             Step::EndpointUpdate(update) => driver.endpoint_update(&update),
             Step::Tick => driver.tick(),
-            Step::Reload => config.reload(),
+            Step::Reload => {
+                if config.reload() {
+                    driver.discovery_address_changed();
+                }
+            }
             Step::Event(event) => driver.handle(event),
         }
     }
