--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -202,7 +202,7 @@
                 self.report_all_to_balancer(reports);
             }
             Some(ConnectionKind::Discovery) => {
-                let outcome = discovery.ended(context, id);
+                let outcome = discovery.request_ended(context, id);
                 self.discovery_request_ended(id, outcome);
                 self.apply_partial_list();
             }
@@ -339,7 +339,7 @@
         let State { context, discovery, .. } = &mut self.state;
         discovery.finish_reading(context, id, read);
         if read.progress == BodyProgress::Complete {
-            let outcome = discovery.ended(context, id);
+            let outcome = discovery.request_ended(context, id);
             self.discovery_request_ended(id, outcome);
         }
     }
