An endpoint entry that states only that a node drains takes it out of use

An entry without a readable replica set was skipped as a whole, so a drain or removal that names the node and its phase alone was lost and the node was sent to for good. Such an entry now takes a known node away; any other invalid entry is skipped as before. Found by reading; the new test fails for draining and gone without it.

--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -6,7 +6,7 @@
 use crate::router::timers::Timer;
 use balancer::{Endpoint, EndpointState, EndpointUpdate, Micros};
 use serde_json::Value as Json;
-use settings_schema::EndpointEntry;
+use settings_schema::{EndpointEntry, endpoint_state};
 
 /// The time for which a list with an older revision than the newest does not make nodes ready. A replica of discovery
 /// that lags behind would otherwise undo a drain; after this time revisions count as having begun anew.
@@ -91,8 +91,7 @@
         &self, context: &mut Context, member: &Json, order: RevisionOrder,
     ) -> Option<Endpoint> {
         let Some(mut entry) = EndpointEntry::parse(member) else {
-            tracing::warn!(entry = %member, "invalid endpoint entry skipped");
-            return None;
+            return store_invalid_entry(context, member);
         };
         let may_become_ready = order == RevisionOrder::Newest || context.endpoints.is_ready(entry.id);
         if entry.state == EndpointState::Ready && !may_become_ready {
@@ -113,6 +112,23 @@
     }
 }
 
+/// Handles an entry that cannot be used as it is. If it takes away a node that is listed, it does so; otherwise it is
+/// skipped.
+fn store_invalid_entry(context: &mut Context, member: &Json) -> Option<Endpoint> {
+    let state = member["phase"].as_str().and_then(endpoint_state);
+    let state = state.filter(|state| *state != EndpointState::Ready);
+    let withdrawn = state
+        .zip(member["id"].as_str())
+        .and_then(|(state, id)| context.endpoints.withdraw(context.now, id, state));
+    match withdrawn {
+        Some(endpoint) => {
+            tracing::warn!(entry = %member, node = endpoint.node.0, "invalid endpoint entry: node withdrawn")
+        }
+        None => tracing::warn!(entry = %member, "invalid endpoint entry skipped"),
+    }
+    withdrawn
+}
+
 /// Records and logs that an endpoint list or update was applied.
 fn record_applied(context: &mut Context, revision: u64, update: EndpointUpdate, entries: usize) {
     let previous_revision = context.endpoints.revision();
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -113,6 +113,19 @@
         self[endpoint.node].reported = Some(endpoint);
     }
 
+    /// Records that the current update lists a known node in this state, which is not ready, with an entry that is
+    /// otherwise invalid. Returns the node as it is to be reported; `None` if no node has this id.
+    pub fn withdraw(&mut self, now: Micros, id: &str, state: EndpointState) -> Option<Endpoint> {
+        let index = self.ids.find(id)?;
+        let record = &mut self.records[index];
+        let withdrawn = Endpoint { state, ..record.reported? };
+        record.set_ready(now, false);
+        record.unconfirmed = false;
+        record.last_update = self.update_number;
+        record.reported = Some(withdrawn);
+        Some(withdrawn)
+    }
+
     /// Takes the ready nodes that the current update has not listed out of use until they are confirmed. Returns them
     /// as they are to be reported.
     pub fn suspend_unlisted(&mut self, now: Micros) -> Vec<Endpoint> {
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -189,3 +189,20 @@
         assert_eq!((is_ready("a"), is_ready("b")), (true, !is_completed), "completed: {is_completed}");
     }
 }
+
+/// Guards against a drain that is skipped since its entry lacks a field that a ready node needs.
+#[test]
+fn an_entry_that_only_states_that_a_node_drains_is_applied() {
+    for (phase, is_ready) in [("draining", false), ("gone", false), ("ready", true), ("asleep", true)] {
+        let mut rig = Rig::with_config(&config("ask"));
+        answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
+        let update =
+            list(51, false, &[json!({"id": "b", "phase": phase}), json!({"id": "c", "phase": phase})]);
+        let watch = rig.peers.outgoing.last().expect("a watch").id;
+        rig.receive(watch, format!("{:x}\r\n{update}\r\n", update.len()).as_bytes());
+        rig.send_query("look", "t1");
+        assert_eq!(rig.router.state.context.endpoints.is_ready("b"), is_ready, "{phase}");
+        let connects_to_b = rig.peers.outgoing.iter().any(|outgoing| outgoing.port == 72);
+        assert!(is_ready || !connects_to_b, "{phase}");
+    }
+}
