Nodes that a slow first answer has not named are suspended by the time of its request

The 3.5 s counted from the first byte of the list, so with a first byte that came 1.5 s after a reload the nodes that it leaves out were used until 5 s after it, where 4.5 s are allowed. For the first answer of a watch they count from the request. The test fails without it.

--- a/crates/query-router/src/router/connection/discovery.rs
+++ b/crates/query-router/src/router/connection/discovery.rs
@@ -325,6 +325,15 @@
         self.partial_object_since
     }
 
+    /// Returns the time since which the incomplete update of a watch is awaited: that of the request if the update is the
+    /// first message, otherwise that of its first byte.
+    pub fn update_awaited_since(&self) -> Micros {
+        match self.partial_object_since {
+            Some(since) if self.message_received => since,
+            _ => self.started_at,
+        }
+    }
+
     /// Returns an update of a watch that was received in part, up to its last complete entry and with its brackets
     /// closed; `None` if it has no complete entry.
     pub fn partial_object(&self) -> Option<Vec<u8>> {
--- a/crates/query-router/src/router/discovery/partial_list.rs
+++ b/crates/query-router/src/router/discovery/partial_list.rs
@@ -13,7 +13,8 @@
 
 /// The time from the start of an update after which its complete entries are looked at.
 const MIN_AGE: Micros = 500_000;
-/// The time from the start of a full list after which nodes that it has not named are suspended.
+/// The time after which the nodes that an incomplete full list has not named are suspended. It counts from the request if
+/// the list is the first answer, and from the start of the list otherwise.
 const CONFIRMATION_TIMEOUT: Micros = 3_500_000;
 
 /// The incomplete update that is in use.
@@ -42,7 +43,8 @@
         if update["revision"].as_u64().is_none_or(|revision| revision < self.newest_revision) {
             return Vec::new();
         }
-        let is_suspending = update["complete"] == true && context.now >= next.since + CONFIRMATION_TIMEOUT;
+        let awaited_since = context.connections.discovery_mut(next.watch).update_awaited_since();
+        let is_suspending = update["complete"] == true && context.now >= awaited_since + CONFIRMATION_TIMEOUT;
         let partial = PartialList { is_suspending, ..next };
         if self.partial_list.replace(partial) == Some(partial) {
             return Vec::new();
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -206,3 +206,22 @@
         assert!(is_ready || !connects_to_b, "{phase}");
     }
 }
+
+/// Guards against nodes that are suspended too late after a reload, since the first byte of the list came late.
+#[test]
+fn nodes_are_suspended_in_time_although_the_first_byte_of_the_list_comes_late() {
+    let mut rig = Rig::with_config(&config("ask"));
+    answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
+    rig.step(Event::DiscoveryAddressReloaded(SocketAddr::from(([127, 0, 0, 1], DISCOVERY_PORT + 1))));
+    let reloaded_at = rig.now;
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.step(Event::Established(watch));
+    rig.decide_and_advance(1_500_000);
+    let update = list(51, true, &[entry("a", "ready"), entry("c", "ready")]);
+    let end = update.find("},{").expect("two entries") + 12;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", update.len());
+    rig.receive(watch, (head + &update[..end]).as_bytes());
+    let_bytes_arrive(&mut rig, watch, 2_100_000);
+    assert!(rig.now - reloaded_at < 4_000_000);
+    assert_eq!(rig.ready_endpoints(), 1);
+}
