--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -189,3 +189,39 @@
         assert_eq!((is_ready("a"), is_ready("b")), (true, !is_completed), "completed: {is_completed}");
     }
 }
+
+/// Guards against a drain that is skipped since its entry lacks a field that a ready node needs.
+#[test]
+fn an_entry_that_only_states_that_a_node_drains_is_applied() {
+    for (phase, is_ready) in [("draining", false), ("gone", false), ("ready", true), ("asleep", true)] {
+        let mut rig = Rig::with_config(&config("ask"));
+        answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
+        let update =
+            list(51, false, &[json!({"id": "b", "phase": phase}), json!({"id": "c", "phase": phase})]);
+        let watch = rig.peers.outgoing.last().expect("a watch").id;
+        rig.receive(watch, format!("{:x}\r\n{update}\r\n", update.len()).as_bytes());
+        rig.send_query("look", "t1");
+        assert_eq!(rig.router.state.context.endpoints.is_ready("b"), is_ready, "{phase}");
+        let connects_to_b = rig.peers.outgoing.iter().any(|outgoing| outgoing.port == 72);
+        assert!(is_ready || !connects_to_b, "{phase}");
+    }
+}
+
+/// Guards against nodes that are suspended too late after a reload, since the first byte of the list came late.
+#[test]
+fn nodes_are_suspended_in_time_although_the_first_byte_of_the_list_comes_late() {
+    let mut rig = Rig::with_config(&config("ask"));
+    answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
+    rig.step(Event::DiscoveryAddressReloaded(SocketAddr::from(([127, 0, 0, 1], DISCOVERY_PORT + 1))));
+    let reloaded_at = rig.now;
+    let watch = rig.peers.outgoing.last().expect("a watch").id;
+    rig.step(Event::Established(watch));
+    rig.decide_and_advance(1_500_000);
+    let update = list(51, true, &[entry("a", "ready"), entry("c", "ready")]);
+    let end = update.find("},{").expect("two entries") + 12;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", update.len());
+    rig.receive(watch, (head + &update[..end]).as_bytes());
+    let_bytes_arrive(&mut rig, watch, 2_100_000);
+    assert!(rig.now - reloaded_at < 4_000_000);
+    assert_eq!(rig.ready_endpoints(), 1);
+}
