--- a/crates/balancer/src/policy/discovery.rs
+++ b/crates/balancer/src/policy/discovery.rs
@@ -7,7 +7,7 @@
 /// Longest delay of a request after failures, in microseconds. A change counts as delivered 6 s after discovery has
 /// recovered, so several requests must fit into that time.
 const MAX_BACKOFF: Micros = 2_000_000;
-/// Time after a change of discovery's address at which what it has counts as delivered, in microseconds.
+/// Time after a change of discovery's address at which its changes count as delivered, in microseconds.
 const DELIVERY_AFTER_ADDRESS_CHANGE: Micros = 4_000_000;
 /// Longest delay of a request after a failure during that time, in microseconds.
 const BACKOFF_AFTER_ADDRESS_CHANGE: Micros = 500_000;
--- a/crates/cli/tests/loopback/drains.rs
+++ b/crates/cli/tests/loopback/drains.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use test_servers::{Discovery, WatchPace, member};
 
-/// The time after SIGHUP at which what the new discovery has counts as delivered.
+/// The time after SIGHUP at which the list of the new discovery counts as delivered.
 const DELIVERED_AFTER_RELOAD: Duration = Duration::from_secs(4);
 /// The time after a change at which it counts as delivered if discovery can be reached.
 const DELIVERED_AFTER_CHANGE: Duration = Duration::from_secs(6);
@@ -74,7 +74,7 @@
     );
 }
 
-/// Guards against a list that is never applied since its response is given up while bytes keep coming.
+/// Guards against a list that is never applied since its response times out while bytes keep coming.
 #[test]
 fn list_that_takes_longer_than_the_timeout_to_arrive_is_applied() {
     for mode in DISCOVERY_MODES {
@@ -211,7 +211,7 @@
         let queries: Vec<QueryStream> = (0..8).map(|_| QueryStream::start(router.connect())).collect();
         std::thread::sleep(Duration::from_millis(500));
         assert!(nodes.draining.arrivals_after(started) > 0, "the node is used before it drains");
-        // The process is idle when it is stopped: what it had decided before could be written after it is resumed.
+        // The process is idle when it is stopped: attempts of an earlier decision could be written after it is resumed.
         drop(queries);
         router.pause();
         discovery.publish(vec![nodes.entries("draining")[1].clone()]);
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -92,7 +92,7 @@
     assert_eq!(rig.ready_endpoints(), 1);
 }
 
-/// Guards against a discovery service whose revisions began anew and that is never believed again.
+/// Guards against a discovery service whose revisions began anew and whose lists are rejected for good.
 #[test]
 fn lists_of_a_discovery_whose_revisions_began_anew_are_accepted_after_a_while() {
     for (mode, move_discovery) in [("ask", false), ("ask", true), ("push", false), ("push", true)] {
--- a/crates/soak/src/checker/nodes.rs
+++ b/crates/soak/src/checker/nodes.rs
@@ -13,7 +13,7 @@
 /// How long after discovery became reachable a change counts as delivered at the latest.
 const DELIVERY_TIMEOUT: Micros = 6 * SECOND;
 
-/// How long after a reload what the new address of discovery has counts as delivered, if discovery is reachable.
+/// How long after a reload the list of discovery counts as delivered, if discovery is reachable.
 const DELIVERY_TIMEOUT_AFTER_RELOAD: Micros = 4 * SECOND;
 
 impl Checker<'_> {
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -38,7 +38,7 @@
 }
 
 impl DiscoveryMode {
-    /// Returns whether routers can reach discovery, so that what it has counts as delivered after a while.
+    /// Returns whether routers can reach discovery, so that its changes count as delivered after a while.
     pub fn is_reachable(self) -> bool {
         match self {
             DiscoveryMode::Normal
