Recording node of the loopback tests answers every shard request of a batch

Cause: the node answered the first shard request of a batch alone, and the other queries of the batch waited for their deadline of 20 s; eight clients at once share batches when the router is slow. A fault of the test's node, not of the router.

--- a/crates/cli/tests/loopback/rig/recording_node.rs
+++ b/crates/cli/tests/loopback/rig/recording_node.rs
@@ -38,8 +38,21 @@
         }
         arrivals.lock().expect("the lock is not poisoned").push(Instant::now());
         let payload = String::from_utf8(payload).expect("a payload in UTF-8");
-        // The queries of the tests contain no line feed, so each line ends with the id of the next shard request.
-        let id = payload.split(' ').next().expect("the id of a shard request");
-        connection.send(&frame(b'Y', &format!("{id} OK 5 -\nvalue")));
+        for id in request_ids(&payload) {
+            connection.send(&frame(b'Y', &format!("{id} OK 5 -\nvalue")));
+        }
+    }
+}
+
+/// Returns the ids of the shard requests of a batch. Each is a line of id, shard, deadline and query length, followed by
+/// the query.
+fn request_ids(batch: &str) -> Vec<&str> {
+    let mut ids = Vec::new();
+    let mut remaining = batch;
+    while let Some((line, rest)) = remaining.split_once('\n') {
+        let fields: Vec<&str> = line.split(' ').collect();
+        ids.push(fields[0]);
+        remaining = &rest[fields[3].parse().expect("a query length")..];
     }
+    ids
 }
