--- a/crates/query-router/src/event_loop/iteration.rs
+++ b/crates/query-router/src/event_loop/iteration.rs
@@ -64,6 +64,7 @@
         }
     }
 
+    /// Returns the place of a connection in the order of an iteration.
     pub(super) fn turn(&self, connection: ConnectionId) -> Turn {
         let is_connected = self.socket(connection).is_some_and(Socket::is_connected);
         match is_connected {
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -133,8 +133,8 @@
     }
 
     /// Changes the address of discovery. Requests in progress are repeated at the new address, so that no late response
-    /// from the old one overwrites a newer list. Revisions from different addresses are not comparable. Returns whether
-    /// the address is another one.
+    /// from the old one overwrites a newer list. The full list is requested, since revisions of the old address may
+    /// mean nothing at the new one. Returns whether the address is another one.
     pub fn set_address(&mut self, context: &mut Context, address: SocketAddr) -> bool {
         if address == self.address {
             return false;
--- a/crates/query-router/src/router/tests/discovery.rs
+++ b/crates/query-router/src/router/tests/discovery.rs
@@ -387,16 +387,6 @@
 /// discovery is reachable, less the time that the request may take.
 const MAX_REQUEST_GAP: Micros = 5_000_000;
 
-/// Advances the clock until the next request to discovery, and returns the time that this takes.
-fn time_to_next_request(rig: &mut Rig<RecordingPeers>) -> Micros {
-    const STEP: Micros = 50_000;
-    let (requests, started) = (rig.router.counters().discovery_requests, rig.now);
-    while rig.router.counters().discovery_requests == requests {
-        rig.decide_and_advance(STEP);
-    }
-    rig.now - started
-}
-
 /// Returns routers with polled and with pushed lists, with different seeds, after 0 to 4 failed requests to discovery.
 fn routers_after_failed_requests() -> impl Iterator<Item = Rig<RecordingPeers>> {
     let configs = ["ask", "push"].into_iter().flat_map(|mode| {
@@ -410,7 +400,7 @@
             for _ in 0..failures {
                 let request = rig.peers.outgoing.last().expect("an open request to discovery").id;
                 rig.end_connection(request, 0);
-                time_to_next_request(&mut rig);
+                rig.time_to_next_discovery_request();
             }
             rig
         })
@@ -423,7 +413,7 @@
         let request = rig.peers.outgoing.last().expect("an open request to discovery").id;
         rig.step(Event::Established(request));
         // The request was accepted just before discovery recovered, and is never answered.
-        let gap = time_to_next_request(&mut rig);
+        let gap = rig.time_to_next_discovery_request();
         assert!(gap <= MAX_REQUEST_GAP, "requested again after {gap} us");
     }
 }
@@ -433,7 +423,7 @@
     for mut rig in routers_after_failed_requests() {
         let request = rig.peers.outgoing.last().expect("an open request to discovery").id;
         rig.end_connection(request, 0);
-        let gap = time_to_next_request(&mut rig);
+        let gap = rig.time_to_next_discovery_request();
         assert!(gap <= MAX_REQUEST_GAP, "requested again after {gap} us");
     }
 }
--- a/crates/query-router/src/router/tests/drain_grid.rs
+++ b/crates/query-router/src/router/tests/drain_grid.rs
@@ -1,7 +1,7 @@
 //! Tests that nothing is sent to a drained or removed node, for each combination of how the router learns of the drain,
 //! what crosses it, and what may then send an attempt.
 
-use super::stale_lists::{answer_watch, config, entry, list, response, time_to_next_watch};
+use super::stale_lists::{answer_watch, config, entry, list, response};
 use super::*;
 use crate::router::connection::ConnectionKind;
 use balancer::Micros;
@@ -150,19 +150,19 @@
     fn reset_watch(&mut self) {
         let watch = self.watch();
         self.rig.end_connection(watch, 0);
-        time_to_next_watch(&mut self.rig);
+        self.rig.time_to_next_discovery_request();
     }
 
     /// Does what crosses the delivery before it. Afterwards the last watch has no answer, or is the first one.
     fn disturb_before(&mut self) {
         match self.crossing {
             Crossing::Silence => {
-                time_to_next_watch(&mut self.rig);
+                self.rig.time_to_next_discovery_request();
             }
             Crossing::HalfLine => {
                 let watch = self.watch();
                 self.rig.receive(watch, b"5\r\n{\"rev\r\n");
-                time_to_next_watch(&mut self.rig);
+                self.rig.time_to_next_discovery_request();
             }
             Crossing::Reset => self.reset_watch(),
             Crossing::Unavailable => {
@@ -171,7 +171,7 @@
                     let watch = self.watch();
                     self.rig.step(Event::Established(watch));
                     self.rig.receive(watch, b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
-                    time_to_next_watch(&mut self.rig);
+                    self.rig.time_to_next_discovery_request();
                 }
             }
             _ if self.delivery == Delivery::FirstAnswer => self.reset_watch(),
@@ -287,7 +287,7 @@
             Crossing::OlderRevision => {
                 let watch = self.watch();
                 self.rig.end_connection(watch, 0);
-                time_to_next_watch(&mut self.rig);
+                self.rig.time_to_next_discovery_request();
                 let older = list(READY_REVISION - 1, true, &[entry("a", "ready"), entry("b", "ready")]);
                 answer_watch(&mut self.rig, &older);
             }
--- a/crates/query-router/src/router/tests/rig.rs
+++ b/crates/query-router/src/router/tests/rig.rs
@@ -292,6 +292,16 @@
         poll.expect("a connection for the poll")
     }
 
+    /// Advances the clock until the next request to discovery, and returns the time that this takes.
+    pub fn time_to_next_discovery_request(&mut self) -> Micros {
+        const STEP: Micros = 10_000;
+        let (requests, started) = (self.router.counters().discovery_requests, self.now);
+        while self.router.counters().discovery_requests == requests {
+            self.decide_and_advance(STEP);
+        }
+        self.now - started
+    }
+
     /// Applies an endpoint list, without applying the resulting effects.
     pub fn apply_endpoint_list(&mut self, list: &Json, update: EndpointUpdate) {
         self.router.state.context.now = self.now;
--- a/crates/query-router/src/router/tests/stale_lists.rs
+++ b/crates/query-router/src/router/tests/stale_lists.rs
@@ -37,15 +37,6 @@
     request
 }
 
-/// Advances the clock until another watch is opened, and returns the time that this takes.
-pub(super) fn time_to_next_watch(rig: &mut Rig<RecordingPeers>) -> Micros {
-    let (requests, started) = (rig.router.counters().discovery_requests, rig.now);
-    while rig.router.counters().discovery_requests == requests {
-        rig.decide_and_advance(10_000);
-    }
-    rig.now - started
-}
-
 /// Returns a router to which discovery has sent, at revision 50, that node `b` drains, and whose watch has ended since.
 /// `move_discovery` says whether it ended by a reload.
 fn router_with_drained_node(mode: &str, move_discovery: bool) -> Rig<RecordingPeers> {
@@ -57,7 +48,7 @@
     } else {
         let watch = rig.peers.outgoing.last().expect("a watch").id;
         rig.end_connection(watch, 0);
-        time_to_next_watch(&mut rig);
+        rig.time_to_next_discovery_request();
     }
     rig
 }
@@ -87,7 +78,7 @@
     answer_watch(&mut rig, &list(50, true, &[entry("a", "ready")]));
     let watch = rig.peers.outgoing.last().expect("a watch").id;
     rig.end_connection(watch, 0);
-    time_to_next_watch(&mut rig);
+    rig.time_to_next_discovery_request();
     answer_watch(&mut rig, &list(49, true, &[entry("a", "ready"), entry("b", "ready")]));
     assert_eq!(rig.ready_endpoints(), 1);
 }
@@ -105,7 +96,7 @@
         );
         rig.decide_and_advance(3_000_000);
         rig.receive(rig.peers.outgoing[0].id, b"1\r\n\n\r\n");
-        assert!(time_to_next_watch(&mut rig) <= 2_010_000);
+        assert!(rig.time_to_next_discovery_request() <= 2_010_000);
         let request = answer_watch(&mut rig, &list(2, true, &[entry("b", "ready")]));
         assert!(request.starts_with("GET /api/targets?watch=1&after=0 "), "{request}");
         assert_eq!(rig.ready_endpoints(), 1);
@@ -119,7 +110,7 @@
     answer_watch(&mut rig, &list(50, true, &[entry("a", "ready"), entry("b", "ready")]));
     let watch = rig.peers.outgoing.last().expect("a watch").id;
     rig.end_connection(watch, 0);
-    time_to_next_watch(&mut rig);
+    rig.time_to_next_discovery_request();
     let watch = rig.peers.outgoing.last().expect("a watch").id;
     rig.step(Event::Established(watch));
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", next_list.len());
