--- a/review/standins.rs
+++ b/review/standins.rs
@@ -17,6 +17,7 @@
     ($($text:tt)*) => { drop(writeln!(io::stdout(), $($text)*)) };
 }
 
+mod case_flood;
 mod case_length;
 
 /// Time limits of the protocol are 50 ms longer on sockets.
@@ -524,6 +525,7 @@
     let record = Record::create(&format!("{folder}/record.txt"));
     let is_broken = match case.as_str() {
         "length" => case_length::run(&record, &temporary),
+        "flood" => case_flood::run(&record, &temporary),
         _ => could_not_run("unknown case"),
     };
     record.line(if is_broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
