--- a/review/standins.rs
+++ b/review/standins.rs
@@ -19,6 +19,7 @@
 
 mod case_flood;
 mod case_length;
+mod case_pipeline;
 
 /// Time limits of the protocol are 50 ms longer on sockets.
 pub const SOCKET_SLACK_MS: u64 = 50;
@@ -526,6 +527,7 @@
     let is_broken = match case.as_str() {
         "length" => case_length::run(&record, &temporary),
         "flood" => case_flood::run(&record, &temporary),
+        "pipeline" => case_pipeline::run(&record, &temporary),
         _ => could_not_run("unknown case"),
     };
     record.line(if is_broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
