A response that may be cut off by its length is not served

Cause: a value extends to the end of its frame, so a stated length that is too small cuts it. `receive_response` stored the value and reported success without regard to the bytes behind the frame; the next step found that they are no frame and closed the connection, but the value stayed.

The new tests failed before this change (`a_response_whose_length_is_too_small_is_not_served`, `a_long_response_whose_length_is_too_small_is_not_served`: "length too small by 1, followed by []", 200 instead of 502), for each number of missing bytes, before a copy, another frame and noise.

Change: `FrameEnd` classifies the bytes behind a frame. Text may belong to the value, so the response counts as malformed; a control character or invalid UTF-8 cannot (each frame begins with a zero byte), so the response is used. The same holds for `REJECTED`, whose proof that an attempt was not executed may not rest on a broken frame. An impossible length is found at its first byte.

`bytes_after_a_valid_response_do_not_fail_the_query` served a response before `noise\r\n`. `text_after_a_valid_response_fails_the_query` stands in its place with the same assertions on close and counters and the opposite status; the other two kinds stay, with four kinds of noise that can be told apart.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -82,6 +82,11 @@
     attempts_malformed_response,
     /// Responses to shard requests that were not in flight on the connection.
     responses_late,
+    /// Responses that were not used because the bytes after them may belong to their value.
+    responses_ambiguous,
+    /// Responses that were used although they were followed by the same response again, or by bytes that belong neither
+    /// to their value nor to another frame.
+    responses_with_surplus_bytes,
     /// Frames that were malformed or not received completely in time while an attempt was in flight on the connection,
     /// and notices from nodes that they could not parse a frame.
     frames_malformed,
--- a/crates/query-router/src/protocol/frames.rs
+++ b/crates/query-router/src/protocol/frames.rs
@@ -12,6 +12,8 @@
 const MAX_FRAME_BYTES: usize = 64 * 1024 + MAX_LINE_BYTES;
 /// Size in bytes of the length field.
 const LENGTH_BYTES: usize = 4;
+/// Maximum size in bytes of a character in UTF-8.
+const MAX_UTF8_BYTES: usize = 4;
 
 /// The kind of a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +57,37 @@
     }
 }
 
+/// What the bytes after a frame tell about its end. The text of a response or a load report has no length of its own: it
+/// extends to the end of its frame, so only the next byte shows whether the stated length of the frame is too small.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameEnd {
+    /// No byte was received after the frame.
+    Unknown,
+    /// The next byte cannot belong to the text of the frame: it begins another frame or is noise.
+    Confirmed,
+    /// The next byte may belong to the text of the frame.
+    Ambiguous,
+}
+
+impl FrameEnd {
+    /// Classifies the end of a frame by the bytes that were received after it.
+    pub fn from_following(following: &[u8]) -> FrameEnd {
+        if following.is_empty() {
+            return FrameEnd::Unknown;
+        }
+        let start = &following[..following.len().min(MAX_UTF8_BYTES)];
+        let valid = match std::str::from_utf8(start) {
+            Ok(text) => text,
+            // The first character is received in part.
+            Err(error) if error.valid_up_to() == 0 && error.error_len().is_none() => {
+                return FrameEnd::Ambiguous;
+            }
+            Err(error) => as_utf8(&start[..error.valid_up_to()]).unwrap_or_default(),
+        };
+        if valid.starts_with(is_text) { FrameEnd::Ambiguous } else { FrameEnd::Confirmed }
+    }
+}
+
 /// A frame received from a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Frame<'a> {
@@ -120,7 +153,9 @@
 /// Returns a [`FrameError`] as soon as the received bytes are known to be malformed, so that the router does not wait
 /// for the rest of a frame with an unknown letter or a line that is too long.
 pub fn parse(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
-    let Some((length, rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let Some((length, rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() else {
+        return check_partial_length(bytes).map(|()| None);
+    };
     let length = u32::from_be_bytes(*length) as usize;
     if length == 0 || length > MAX_FRAME_BYTES {
         return Err(FrameError::InvalidLength(length));
@@ -135,6 +170,14 @@
     Ok(Some(Frame { kind, payload, encoded_length: LENGTH_BYTES + length }))
 }
 
+/// Checks the first bytes of a length field that is received in part.
+fn check_partial_length(bytes: &[u8]) -> Result<(), FrameError> {
+    let mut length = [0; LENGTH_BYTES];
+    length[..bytes.len()].copy_from_slice(bytes);
+    let smallest = u32::from_be_bytes(length) as usize;
+    if smallest > MAX_FRAME_BYTES { Err(FrameError::InvalidLength(smallest)) } else { Ok(()) }
+}
+
 /// Returns whether the line of a partially received response exceeds the limit.
 fn exceeds_line_limit(received: &[u8]) -> bool {
     received.len() > MAX_LINE_BYTES && !received[..MAX_LINE_BYTES].contains(&b'\n')
@@ -184,12 +227,17 @@
         let score: Option<f64> = words.next().and_then(as_utf8).and_then(|score| score.parse().ok());
         score.ok_or(invalid(ResponsePart::Score))?;
         let load_report = words.next().ok_or(invalid(ResponsePart::LoadReport))?;
-        let value = as_utf8(value).filter(|value| !value.contains(char::is_control));
+        let value = as_utf8(value).filter(|value| value.chars().all(is_text));
         let value = value.ok_or(invalid(ResponsePart::Value))?;
         Ok(ShardResponse { id, outcome, load_report, value })
     }
 }
 
+/// Returns whether a value may contain this character.
+fn is_text(character: char) -> bool {
+    !character.is_control()
+}
+
 fn as_utf8(bytes: &[u8]) -> Option<&str> {
     std::str::from_utf8(bytes).ok()
 }
--- a/crates/query-router/src/protocol/frames/tests.rs
+++ b/crates/query-router/src/protocol/frames/tests.rs
@@ -24,6 +24,26 @@
     assert_eq!(parse(&[0x10, 0, 0, 0]), Err(FrameError::InvalidLength(0x1000_0000)));
 }
 
+#[test]
+fn frame_whose_length_exceeds_the_limit_is_rejected_at_its_first_byte() {
+    assert_eq!(parse(b"5"), Err(FrameError::InvalidLength(0x3500_0000)));
+    assert_eq!(parse(&[0, 2]), Err(FrameError::InvalidLength(0x2_0000)));
+    for partial in [&[][..], &[0], &[0, 1], &[0, 0, 0xff]] {
+        assert_eq!(parse(partial), Ok(None), "{partial:?}");
+    }
+}
+
+#[test]
+fn frame_end_is_ambiguous_if_the_next_byte_may_belong_to_a_value() {
+    assert_eq!(FrameEnd::from_following(&[]), FrameEnd::Unknown);
+    for following in [&b"5"[..], b"5\0", b" ", "\u{e9}".as_bytes(), b"\xc3", b"\xf0\x9f\x98", b"5\xff"] {
+        assert_eq!(FrameEnd::from_following(following), FrameEnd::Ambiguous, "{following:?}");
+    }
+    for following in [&[0][..], &[0, 0, 0, 9, b'Y'], b"\r\n", b"\xff", b"\xa9", b"\xc3\x28", b"\xc2\x80"] {
+        assert_eq!(FrameEnd::from_following(following), FrameEnd::Confirmed, "{following:?}");
+    }
+}
+
 #[test]
 fn malformed_frame_is_rejected_before_it_is_complete() {
     assert_eq!(parse(&[0, 0, 0, 9, 1]), Err(FrameError::UnknownKind(1)));
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -302,13 +302,15 @@
         std::mem::take(&mut self.in_flight)
     }
 
-    /// Removes the attempt in flight at the shard request with this id, to which a response has arrived. `None` if no
-    /// such attempt is in flight.
-    pub fn take_answered(&mut self, request_id: &str) -> Option<AttemptId> {
-        let index = self.in_flight.iter().position(|sent| &*sent.id == request_id)?;
-        let sent = self.in_flight.remove(index);
-        self.last_answered = Some(sent.id);
-        Some(sent.attempt)
+    /// Returns the attempt in flight at the shard request with this id; `None` if there is none.
+    pub fn attempt_in_flight(&self, request_id: &str) -> Option<AttemptId> {
+        self.in_flight.iter().find(|sent| &*sent.id == request_id).map(|sent| sent.attempt)
+    }
+
+    /// Removes an attempt in flight, to which a response has arrived.
+    pub fn set_answered(&mut self, attempt: AttemptId) {
+        let Some(index) = self.in_flight.iter().position(|sent| sent.attempt == attempt) else { return };
+        self.last_answered = Some(self.in_flight.remove(index).id);
     }
 
     /// Handles a response to a shard request that is not in flight. Unless the shard request was cancelled on the
--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -4,10 +4,10 @@
     NodeReport, close_malformed, close_or_keep_idle, finish_health_check, record_malformed_frame,
 };
 use crate::io::{ConnectionId, Effect};
-use crate::protocol::frames::{self, FrameKind, ShardResponse};
+use crate::protocol::frames::{self, Frame, FrameEnd, FrameKind, ShardResponse};
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
-use balancer::{AttemptOutcome, LoadMetric};
+use balancer::{AttemptId, AttemptOutcome, LoadMetric};
 use settings_schema::parse_load_metrics;
 
 /// The result of handling a frame.
@@ -18,6 +18,8 @@
     Handled,
     /// The frame is malformed or unexpected.
     Malformed,
+    /// The response to this attempt may be cut off: the bytes after it may belong to its value.
+    Ambiguous(AttemptId),
 }
 
 /// Parses the bytes that a node has sent, from `offset` on, up to the first frame that must be reported to the
@@ -34,11 +36,8 @@
                 return None;
             }
             Ok(Some(frame)) => {
-                let received = receive(context, queries, id, frame.kind, frame.payload);
-                if !matches!(received, FrameOutcome::Malformed) {
-                    *offset += frame.encoded_length;
-                }
-                received
+                *offset += frame.encoded_length;
+                receive(context, queries, id, frame, &bytes[*offset..])
             }
             Err(_) => FrameOutcome::Malformed,
         };
@@ -50,6 +49,11 @@
                 close_malformed(context, id, named);
                 return None;
             }
+            FrameOutcome::Ambiguous(attempt) => {
+                context.counters.responses_ambiguous += 1;
+                close_malformed(context, id, Some(attempt));
+                return None;
+            }
         }
     }
 }
@@ -61,11 +65,13 @@
     close_or_keep_idle(context, id);
 }
 
+/// Handles a frame. `following` contains the bytes that were received after it.
 fn receive<'a>(
-    context: &mut Context, queries: &mut QueryTable, id: ConnectionId, kind: FrameKind, payload: &'a [u8],
+    context: &mut Context, queries: &mut QueryTable, id: ConnectionId, frame: Frame<'a>, following: &[u8],
 ) -> FrameOutcome<'a> {
-    match kind {
-        FrameKind::Response => receive_response(context, queries, id, payload),
+    let payload = frame.payload;
+    match frame.kind {
+        FrameKind::Response => receive_response(context, queries, id, payload, following),
         FrameKind::Health | FrameKind::Load => receive_health(context, id, payload),
         FrameKind::ProtocolError => {
             // The node closes the connection after this frame, so queued attempts end as not sent and can be retried on
@@ -79,15 +85,22 @@
     }
 }
 
-/// Handles a response to a shard request.
+/// Handles a response to a shard request. It is not used if the bytes after it may belong to its value: neither the
+/// value nor the proof that a rejected attempt was not executed may come from a response that is cut off.
 fn receive_response<'a>(
-    context: &mut Context, queries: &mut QueryTable, id: ConnectionId, payload: &'a [u8],
+    context: &mut Context, queries: &mut QueryTable, id: ConnectionId, payload: &'a [u8], following: &[u8],
 ) -> FrameOutcome<'a> {
     let Ok(response) = ShardResponse::parse(payload) else { return FrameOutcome::Malformed };
     let ShardResponse { id: request_id, outcome, load_report: load, value } = response;
-    let Some(attempt) = context.connections.node_mut(id).take_answered(request_id) else {
+    let connection = context.connections.node_mut(id);
+    let Some(attempt) = connection.attempt_in_flight(request_id) else {
         return receive_late_response(context, id, request_id);
     };
+    if FrameEnd::from_following(following) == FrameEnd::Ambiguous {
+        return FrameOutcome::Ambiguous(attempt);
+    }
+    connection.set_answered(attempt);
+    context.counters.responses_with_surplus_bytes += u64::from(is_surplus(following, request_id));
     if outcome == AttemptOutcome::Succeeded {
         queries.store_value(attempt.shard_request, value);
     }
@@ -100,6 +113,19 @@
     }
 }
 
+/// Returns whether the bytes after a response to the shard request `request_id` are known to belong to no other frame:
+/// they are noise or the same response again.
+fn is_surplus(following: &[u8], request_id: &str) -> bool {
+    match frames::parse(following) {
+        Err(_) => true,
+        Ok(Some(frame)) if frame.kind == FrameKind::Response => {
+            let after_id = frame.payload.strip_prefix(request_id.as_bytes());
+            after_id.is_some_and(|rest| rest.first() == Some(&b' '))
+        }
+        Ok(_) => false,
+    }
+}
+
 /// Handles a response to a shard request that is not in flight on the connection. The response counts as malformed if
 /// the connection can no longer be reused, unless it repeats the last response.
 fn receive_late_response<'a>(context: &mut Context, id: ConnectionId, request_id: &str) -> FrameOutcome<'a> {
--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -10,6 +10,7 @@
 mod event_sequences;
 mod node_connections;
 mod queries;
+mod response_ends;
 mod rig;
 mod shutdown;
 mod stale_lists;
@@ -19,7 +20,7 @@
 use crate::protocol::frames;
 use crate::router::Router;
 use crate::router::shutdown::{IDLE_CLOSE_DELAY, KILL_DELAY};
-use balancer::{Actions, AttemptId, AttemptNumber, EndpointUpdate, NodeId, ShardRequestId};
+use balancer::{Actions, AttemptId, AttemptNumber, AttemptOutcome, EndpointUpdate, NodeId, ShardRequestId};
 use rig::{
     CONFIG, DISCOVERY_PORT, FollowUp, Outgoing, Peers, RecordingPeers, Rig, START, frame, query_request,
 };
--- a/crates/query-router/src/router/tests/node_connections.rs
+++ b/crates/query-router/src/router/tests/node_connections.rs
@@ -77,26 +77,49 @@
     assert!(other.is_some_and(|connection| connection != silent));
 }
 
+/// Guards against good responses that are not used although the bytes after them cannot belong to their value.
 #[test]
 fn bytes_after_a_valid_response_do_not_fail_the_query() {
-    for trailing in ["noise\r\n", "again", "other"] {
-        let mut rig = Rig::new();
-        let client = rig.send_query("pay", "t1");
-        let (connection, _) = rig.establish_last();
-        rig.respond(connection, "t1.0 OK 5 %%%", "alpha");
-        let valid_response = frame(b'Y', "t1.1 OK 5 =,=\nbeta");
-        let trailing_bytes = match trailing {
-            "again" => valid_response.clone(),
-            "other" => frame(b'Y', "t8.1 OK 5 -\nbeta"),
-            noise => noise.as_bytes().to_vec(),
-        };
-        rig.receive(connection, &[valid_response, trailing_bytes].concat());
-        rig.decide();
-        assert!(rig.written(client).starts_with("HTTP/1.1 200"), "{trailing}");
+    let valid_response = frame(b'Y', "t1.1 OK 5 =,=\nbeta");
+    let other_response = frame(b'Y', "t8.1 OK 5 -\nbeta");
+    for following in
+        [&valid_response[..], &other_response, b"\r\nnoise", b"\0\xff\xff\xff", b"\xff\xfe", b"\x7f"]
+    {
+        let (rig, client, connection) = rig_with_bytes_after_response(following);
+        assert!(rig.written(client).starts_with("HTTP/1.1 200"), "{following:?}");
         assert!(rig.peers.closed.contains(&connection) && rig.router.counters().frames_malformed == 0);
+        let has_own_id = following != other_response;
+        let counters = rig.router.counters();
+        let counts = (counters.responses_with_surplus_bytes, counters.responses_ambiguous);
+        assert_eq!(counts, (u64::from(has_own_id), 0), "{following:?}");
+    }
+}
+
+/// Guards against a value that is served although the bytes after its frame may belong to it.
+#[test]
+fn text_after_a_valid_response_fails_the_query() {
+    for following in [&b"noise\r\n"[..], b"n", b" ", "\u{e9}".as_bytes(), b"\xc3"] {
+        let (rig, client, connection) = rig_with_bytes_after_response(following);
+        assert!(rig.written(client).starts_with("HTTP/1.1 502"), "{following:?}");
+        assert!(rig.peers.closed.contains(&connection) && rig.router.counters().frames_malformed == 1);
+        let counters = rig.router.counters();
+        let counts = (counters.responses_with_surplus_bytes, counters.responses_ambiguous);
+        assert_eq!(counts, (0, 1), "{following:?}");
     }
 }
 
+/// Returns a router after a query for two shards, the client's connection, and the connection on which both responses
+/// came. These bytes came with the second response.
+fn rig_with_bytes_after_response(following: &[u8]) -> (Rig<RecordingPeers>, ConnectionId, ConnectionId) {
+    let mut rig = Rig::new();
+    let client = rig.send_query("pay", "t1");
+    let (connection, _) = rig.establish_last();
+    rig.respond(connection, "t1.0 OK 5 %%%", "alpha");
+    rig.receive(connection, &[&frame(b'Y', "t1.1 OK 5 =,=\nbeta"), following].concat());
+    rig.decide();
+    (rig, client, connection)
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_the_node_closes_it() {
     let mut rig = Rig::new();
--- /dev/null
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -0,0 +1,143 @@
+//! Tests of whether a response ends where its length states, for lengths that are too small and for responses that are
+//! followed by other bytes.
+
+use super::*;
+
+/// The value of the shard request `t1.1` in these tests.
+const VALUE: &str = "5be2a07c19f04d63";
+
+/// Returns a frame whose length is too small by `missing` bytes; all of its bytes are there.
+fn frame_with_short_length(payload: &str, missing: usize) -> Vec<u8> {
+    let mut bytes = frame(b'Y', payload);
+    let length = (payload.len() + 1 - missing) as u32;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    bytes
+}
+
+/// Returns a router with a query for the shards 0 and 1, the first of which has answered, the client's connection, and
+/// the connection on which the response to `t1.1` is expected.
+fn rig_awaiting_response(class: &str) -> (Rig<RecordingPeers>, ConnectionId, ConnectionId) {
+    let mut rig = Rig::new();
+    let client = rig.send_query(class, "t1");
+    let (connection, _) = rig.establish_last();
+    rig.respond(connection, "t1.0 OK 5 -", "alpha");
+    (rig, client, connection)
+}
+
+/// Guards against a value that is served cut off because the length of its frame is too small.
+#[test]
+fn a_response_whose_length_is_too_small_is_not_served() {
+    let payload = format!("t1.1 OK 5 -\n{VALUE}");
+    let copy = frame(b'Y', &payload);
+    let other = frame(b'Y', "t8.1 OK 5 -\nbeta");
+    for missing in 1..payload.len() {
+        for following in [&[][..], &copy, &other, b"noise", b"\r\n"] {
+            let (mut rig, client, connection) = rig_awaiting_response("pay");
+            rig.receive(connection, &[&frame_with_short_length(&payload, missing), following].concat());
+            rig.decide();
+            let case = format!("length too small by {missing}, followed by {following:?}");
+            assert!(rig.written(client).starts_with("HTTP/1.1 502"), "{case}: {}", rig.written(client));
+            assert!(rig.peers.closed.contains(&connection), "{case}");
+            let counters = rig.router.counters();
+            let is_found_in_line = missing > VALUE.len();
+            let counts = (counters.attempts_malformed_response, counters.responses_ambiguous);
+            assert_eq!(counts, (1, u64::from(!is_found_in_line)), "{case}");
+        }
+    }
+}
+
+/// Guards against a long value that is served cut off although the rest of it is received by a later read.
+#[test]
+fn a_long_response_whose_length_is_too_small_is_not_served() {
+    let payload = format!("t1.1 OK 5 -\n{}", VALUE.repeat(2_500));
+    for missing in [1, 8, 40_000] {
+        let bytes = frame_with_short_length(&payload, missing);
+        let stated_end = bytes.len() - missing;
+        for read_length in [1_000, 16_384, stated_end - 1, stated_end + 1] {
+            let (mut rig, client, connection) = rig_awaiting_response("pay");
+            for end in (read_length..bytes.len()).step_by(read_length).chain([bytes.len()]) {
+                if !rig.peers.closed.contains(&connection) {
+                    rig.receive(connection, &bytes[..end]);
+                }
+            }
+            rig.decide();
+            let is_failed = rig.written(client).starts_with("HTTP/1.1 502");
+            assert!(is_failed, "length too small by {missing}, reads of {read_length} bytes");
+        }
+    }
+}
+
+/// Guards against a proof that an attempt was not executed, and hence a retry, that rests on a broken frame.
+#[test]
+fn a_rejection_followed_by_text_does_not_prove_that_the_attempt_was_not_executed() {
+    for status in ["REJECTED", "ERROR"] {
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        let response = frame(b'Y', &format!("t1.1 {status} 0 -\n"));
+        rig.receive(connection, &[&response, VALUE.as_bytes()].concat());
+        rig.decide();
+        assert!(rig.written(client).starts_with("HTTP/1.1 502"), "{status}: {}", rig.written(client));
+        let counters = rig.router.counters();
+        assert_eq!((counters.attempts_rejected, counters.attempts_server_error), (0, 0), "{status}");
+        assert_eq!((counters.responses_ambiguous, counters.attempts_retried), (1, 0), "{status}");
+    }
+}
+
+/// Guards against a rejection that no longer counts although the end of its frame is certain.
+#[test]
+fn a_rejection_followed_by_surplus_bytes_proves_that_the_attempt_was_not_executed() {
+    let response = frame(b'Y', "t1.1 REJECTED 0 -\n");
+    for following in [&response[..], b"\r\nnoise", b"\xff"] {
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        rig.receive(connection, &[&response, following].concat());
+        rig.decide();
+        assert_eq!(rig.written(client), "", "{following:?}: the attempt is retried");
+        let counters = rig.router.counters();
+        assert_eq!((counters.attempts_rejected, counters.attempts_retried), (1, 1), "{following:?}");
+    }
+}
+
+/// Guards against a response that is discarded because responses to other attempts follow it.
+#[test]
+fn a_response_followed_by_those_of_other_attempts_is_served() {
+    let mut rig = Rig::new();
+    let client = rig.send_query("pay", "t1");
+    let (connection, _) = rig.establish_last();
+    let responses = [frame(b'Y', "t1.0 OK 5 -\nalpha"), frame(b'Y', &format!("t1.1 OK 5 -\n{VALUE}"))];
+    rig.receive(connection, &responses.concat());
+    rig.decide();
+    assert!(rig.written(client).starts_with("HTTP/1.1 200") && rig.written(client).contains(VALUE));
+    let counters = rig.router.counters();
+    assert_eq!((counters.responses_ambiguous, counters.responses_with_surplus_bytes), (0, 0));
+    assert!(!rig.peers.closed.contains(&connection));
+}
+
+/// Guards against an attempt that is charged with the fault of another: the one whose response is cut off counts as
+/// malformed, and others on the connection as cancelled.
+#[test]
+fn a_response_cut_off_before_the_response_to_another_attempt_ends_its_own_attempt() {
+    let mut rig = Rig::new();
+    let client = rig.send_query("pay", "t1");
+    let (connection, _) = rig.establish_last();
+    let cut_off = frame_with_short_length(&format!("t1.1 OK 5 -\n{VALUE}"), 8);
+    rig.receive(connection, &[cut_off, frame(b'Y', "t1.0 OK 5 -\nalpha")].concat());
+    let requests = &rig.router.state.queries.shard_requests;
+    let outcomes = requests.iter().map(|(_, request)| request.attempts[0].outcome);
+    let expected = [AttemptOutcome::Cancelled, AttemptOutcome::MalformedResponse];
+    assert!(outcomes.eq(expected.map(Some)), "{:?}", rig.router.counters());
+    rig.decide();
+    assert!(rig.written(client).starts_with("HTTP/1.1 502"));
+}
+
+/// Guards against connections on which a late response that is cut off would shift the frames after it.
+#[test]
+fn a_late_response_whose_length_is_too_small_closes_its_connection() {
+    let mut rig = Rig::new();
+    let client = rig.send_query("look", "t1");
+    let (connection, _) = rig.establish_last();
+    rig.end_connection(client, 0);
+    rig.decide();
+    rig.receive(connection, &frame_with_short_length(&format!("t1.0 OK 5 -\n{VALUE}"), 8));
+    rig.decide();
+    assert!(rig.peers.closed.contains(&connection));
+    assert_eq!(rig.router.counters().attempts_succeeded, 0);
+}
