A response is withdrawn if text follows it before its query has ended

Cause: once a response had been reported, the bytes behind it were only a malformed frame, and the balancer had no word for a response that proves to be unusable.

Change: a node connection keeps its last response until a byte follows it. Text withdraws the value, or the rejection, and the balancer is told by `Events::response_withdrawn`: the shard request is pending again, its attempt may have been executed, the node counts as after a malformed response; whether to retry stays with the policy. It is needed since a response cannot be held back until its end is certain: nothing need ever follow it. After the answer has gone out it is counted only.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     Actions, AttemptEnd, ClassSettings, Endpoint, EndpointUpdate, Events, LoadReport, Micros, NodeId,
-    QueryArrival, QueryId, Settings, ShardRequestArrival,
+    QueryArrival, QueryId, Settings, ShardRequestArrival, WithdrawnResponse,
 };
 
 /// Load balancer and admission control of one router, based on its settings and the events that it receives.
@@ -121,6 +121,11 @@
         self.queries.attempt_ended(id, end.node, end.outcome);
     }
 
+    fn response_withdrawn(&mut self, now: Micros, withdrawn: &WithdrawnResponse) {
+        self.observe_withdrawal(now, withdrawn);
+        self.queries[withdrawn.attempt.shard_request].response_withdrawn(withdrawn);
+    }
+
     fn load_reported(&mut self, now: Micros, node: NodeId, report: &LoadReport) {
         self.ensure_classes(self.settings.named_classes().count());
         self.nodes[node].record_load_report(now, report.in_flight);
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -132,6 +132,19 @@
     pub load: &'a [LoadMetric<'a>],
 }
 
+/// Withdrawal of a response, which makes the attempt one whose response could not be parsed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WithdrawnResponse {
+    /// Identifier of the attempt.
+    pub attempt: AttemptId,
+    /// Node that the attempt was sent to.
+    pub node: NodeId,
+    /// Outcome that was reported: [`Succeeded`](AttemptOutcome::Succeeded) or [`Rejected`](AttemptOutcome::Rejected).
+    pub outcome: AttemptOutcome,
+    /// Time at which the attempt was sent.
+    pub sent_at: Micros,
+}
+
 /// End of a health check.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HealthCheckEnd<'a> {
@@ -177,6 +190,8 @@
     fn shard_request_arrived(&mut self, now: Micros, arrival: &ShardRequestArrival);
     /// An attempt has ended.
     fn attempt_ended(&mut self, now: Micros, end: &AttemptEnd);
+    /// The response to an attempt that has ended turned out to be malformed. Its query has not ended.
+    fn response_withdrawn(&mut self, _now: Micros, _withdrawn: &WithdrawnResponse) {}
     /// Other proxies have reported the results of their requests to a node.
     fn load_reported(&mut self, _now: Micros, _node: NodeId, _report: &LoadReport) {}
     /// The client of a query has disconnected.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -83,7 +83,7 @@
 pub use balancer::Balancer;
 pub use events::{
     AttemptEnd, AttemptOutcome, Endpoint, EndpointState, EndpointUpdate, Events, HealthCheckEnd, LoadMetric,
-    LoadReport, QueryArrival, ShardRequestArrival,
+    LoadReport, QueryArrival, ShardRequestArrival, WithdrawnResponse,
 };
 pub use ids::{AttemptId, AttemptNumber, NodeId, QueryId, ShardRequestId};
 pub use settings::{
--- a/crates/balancer/src/policy/health.rs
+++ b/crates/balancer/src/policy/health.rs
@@ -23,6 +23,14 @@
         }
     }
 
+    /// Records that the response to an attempt was withdrawn: its node counts as after a malformed response.
+    pub(crate) fn observe_withdrawal(&mut self, now: Micros, withdrawn: &WithdrawnResponse) {
+        let &WithdrawnResponse { attempt, node, sent_at, .. } = withdrawn;
+        let class = self.queries.query_of(attempt.shard_request).class;
+        let outcome = AttemptOutcome::MalformedResponse;
+        self.record_observation(now, Observation { node, class, outcome, latency: now - sent_at });
+    }
+
     /// Records answers and rejections for pacing. One node that rejects everything does not indicate overload as
     /// long as another answers, so the first rejection of a shard request is counted only with the second. An earlier
     /// attempt that could not connect or was not sent stands for the first rejection.
--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     Actions, AttemptEnd, AttemptOutcome, Balancer, Completion, EndpointHealth, Idempotency, LoadReport,
-    Micros, NodeId, QueryArrival, QueryId, ShardRequestId,
+    Micros, NodeId, QueryArrival, QueryId, ShardRequestId, WithdrawnResponse,
 };
 use std::cmp::Reverse;
 
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -1,5 +1,6 @@
 //! The state of a node connection: queued frames, attempts in flight, health checks, and whether it can be reused.
 
+use crate::protocol::frames::FrameEnd;
 use crate::router::connection::outgoing_queue::{HealthCheckKind, OutgoingFrame, OutgoingQueue};
 use balancer::{AttemptId, Micros, NodeId};
 use std::collections::VecDeque;
@@ -60,6 +61,15 @@
     pub end_offset: u64,
 }
 
+/// A response of which nothing was received but the frame: bytes that follow may show that it is cut off.
+#[derive(Clone, Debug)]
+pub struct UnconfirmedResponse {
+    /// The shard request's id on the wire.
+    pub request_id: Rc<str>,
+    /// The attempt that was answered.
+    pub attempt: AttemptId,
+}
+
 /// A frame that was received in part.
 #[derive(Clone, Copy, Debug)]
 pub struct PartialFrame {
@@ -93,6 +103,8 @@
     cancelled: VecDeque<Rc<str>>,
     /// The id of the shard request to which the last response on the connection belongs.
     last_answered: Option<Rc<str>>,
+    /// The last response, if its end is unknown since no byte has followed it.
+    unconfirmed_response: Option<UnconfirmedResponse>,
     /// Whether further batches may be sent. False after a response to a shard request that was not in flight or
     /// cancelled, after the cancellation of an attempt whose response is overdue if no frame has arrived since the
     /// attempt was requested, and when the connection is aborted because of a partly written frame or because the node
@@ -123,6 +135,7 @@
             in_flight: Vec::new(),
             cancelled: VecDeque::new(),
             last_answered: None,
+            unconfirmed_response: None,
             reusable: true,
             last_frame_at: 0,
             partial_frame: None,
@@ -307,10 +320,26 @@
         self.in_flight.iter().find(|sent| &*sent.id == request_id).map(|sent| sent.attempt)
     }
 
-    /// Removes an attempt in flight, to which a response has arrived.
-    pub fn set_answered(&mut self, attempt: AttemptId) {
+    /// Removes an attempt in flight, to which a response has arrived that ends as `end` states.
+    pub fn set_answered(&mut self, attempt: AttemptId, end: FrameEnd) {
         let Some(index) = self.in_flight.iter().position(|sent| sent.attempt == attempt) else { return };
-        self.last_answered = Some(self.in_flight.remove(index).id);
+        let request_id = self.in_flight.remove(index).id;
+        self.last_answered = Some(request_id.clone());
+        let is_unconfirmed = end == FrameEnd::Unknown;
+        self.unconfirmed_response = is_unconfirmed.then_some(UnconfirmedResponse { request_id, attempt });
+    }
+
+    /// Handles the bytes that were received after the last response, if its end was unknown until then. Returns the
+    /// response if these bytes may belong to it.
+    pub fn confirm_last_response(&mut self, following: &[u8]) -> Option<UnconfirmedResponse> {
+        match FrameEnd::from_following(following) {
+            FrameEnd::Unknown => None,
+            FrameEnd::Confirmed => {
+                self.unconfirmed_response = None;
+                None
+            }
+            FrameEnd::Ambiguous => self.unconfirmed_response.take(),
+        }
     }
 
     /// Handles a response to a shard request that is not in flight. Unless the shard request was cancelled on the
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -117,6 +117,9 @@
         for finished in self.state.queries.take_pending_outcomes() {
             self.report_attempt(&finished, &[]);
         }
+        for withdrawn in self.state.queries.take_pending_withdrawals() {
+            self.report_withdrawal(&withdrawn);
+        }
         // Deciding after each event made the balancer send several times as many hedged attempts, which overloaded
         // nodes with just enough capacity.
         let interval_is_over = now >= self.last_decision_at + self.state.context.limits.decision_interval;
--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -5,6 +5,7 @@
 };
 use crate::io::{ConnectionId, Effect};
 use crate::protocol::frames::{self, Frame, FrameEnd, FrameKind, ShardResponse};
+use crate::router::connection::node::UnconfirmedResponse;
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use balancer::{AttemptId, AttemptOutcome, LoadMetric};
@@ -30,6 +31,10 @@
 ) -> Option<NodeReport<'a>> {
     loop {
         let rest = &bytes[*offset..];
+        if let Some(response) = context.connections.node_mut(id).confirm_last_response(rest) {
+            withdraw_response(context, queries, id, &response, rest);
+            return None;
+        }
         let received = match frames::parse(rest) {
             Ok(None) => {
                 finish_reading(context, id, rest, *offset);
@@ -58,6 +63,22 @@
     }
 }
 
+/// Closes a connection on which text has arrived after a response that was used. If the query has not ended, the response
+/// is withdrawn, as if it had arrived together with the text.
+fn withdraw_response(
+    context: &mut Context, queries: &mut QueryTable, id: ConnectionId, response: &UnconfirmedResponse,
+    following: &[u8],
+) {
+    if queries.withdraw_response(context, response) {
+        context.counters.responses_withdrawn += 1;
+        close_malformed(context, id, Some(response.attempt));
+    } else {
+        context.counters.responses_ambiguous_after_use += 1;
+        let named = context.connections.node_mut(id).attempt_named_in(following);
+        close_malformed(context, id, named);
+    }
+}
+
 /// Consumes the complete frames, and records `rest` as the start of the next one.
 fn finish_reading(context: &mut Context, id: ConnectionId, rest: &[u8], consumed: usize) {
     context.connections.node_mut(id).record_received(context.now, consumed, rest);
@@ -96,13 +117,14 @@
     let Some(attempt) = connection.attempt_in_flight(request_id) else {
         return receive_late_response(context, id, request_id);
     };
-    if FrameEnd::from_following(following) == FrameEnd::Ambiguous {
+    let end = FrameEnd::from_following(following);
+    if end == FrameEnd::Ambiguous {
         return FrameOutcome::Ambiguous(attempt);
     }
-    connection.set_answered(attempt);
+    connection.set_answered(attempt, end);
     context.counters.responses_with_surplus_bytes += u64::from(is_surplus(following, request_id));
     if outcome == AttemptOutcome::Succeeded {
-        queries.store_value(attempt.shard_request, value);
+        queries.store_value(attempt, value);
     }
     let load = std::str::from_utf8(load).ok().and_then(parse_load);
     match queries.finish_attempt(context, attempt, outcome) {
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -1,12 +1,13 @@
 //! The queries in progress with their shard requests and attempts, and the body of the response to a client.
 
 use crate::io::{Bytes, ConnectionId};
+use crate::router::connection::node::UnconfirmedResponse;
 use crate::router::context::Context;
 use crate::router::rules::{self, CheckedAction};
 use crate::router::timers::Timer;
 use balancer::{
     AttemptId, AttemptNumber, AttemptOutcome, Completion, Idempotency, Micros, NodeId, QueryId,
-    ShardRequestId,
+    ShardRequestId, WithdrawnResponse,
 };
 use serde_json::{Value as Json, json};
 use slab::Slab;
@@ -47,6 +48,8 @@
     pub shard: usize,
     /// The value from the first successful response; `None` until then.
     pub value: Option<String>,
+    /// The attempt that returned the value.
+    answered_by: Option<AttemptNumber>,
     /// The attempts at the shard request, indexed by attempt number.
     pub attempts: Vec<Attempt>,
 }
@@ -111,6 +114,8 @@
     open_count: usize,
     /// Outcomes that have not been reported to the balancer, in order.
     pending_outcomes: Vec<FinishedAttempt>,
+    /// Withdrawals that have not been reported to the balancer, in order.
+    pending_withdrawals: Vec<WithdrawnResponse>,
 }
 
 impl QueryTable {
@@ -152,7 +157,7 @@
     pub fn add_shard_request(&mut self, query: QueryId, shard: usize) -> ShardRequestId {
         let entry = &mut self.queries[query.0];
         let id = format!("{}.{shard}", entry.id).into();
-        let request = ShardRequest { id, query, shard, value: None, attempts: Vec::new() };
+        let request = ShardRequest { id, query, shard, value: None, answered_by: None, attempts: Vec::new() };
         let request = ShardRequestId(self.shard_requests.insert(request));
         entry.shard_requests.push(request);
         self.open_count += 1;
@@ -225,8 +230,39 @@
     }
 
     /// Stores the value from a successful response, unless an earlier response has set one.
-    pub fn store_value(&mut self, request: ShardRequestId, value: &str) {
-        self.shard_requests[request.0].value.get_or_insert_with(|| value.to_string());
+    pub fn store_value(&mut self, attempt: AttemptId, value: &str) {
+        let entry = &mut self.shard_requests[attempt.shard_request.0];
+        if entry.value.is_none() {
+            entry.value = Some(value.to_string());
+            entry.answered_by = Some(attempt.number);
+        }
+    }
+
+    /// Withdraws a response that returned the value or a rejection, and reports that to the balancer before its next
+    /// decision. Returns false, without a change, if the query has ended or the response is not in use.
+    pub fn withdraw_response(&mut self, context: &mut Context, response: &UnconfirmedResponse) -> bool {
+        let attempt = response.attempt;
+        let Some(entry) = self.shard_requests.get_mut(attempt.shard_request.0) else { return false };
+        // The index may belong to a later shard request.
+        let is_released = !Rc::ptr_eq(&entry.id, &response.request_id);
+        if is_released || self.queries[entry.query.0].has_ended() {
+            return false;
+        }
+        let state = &mut entry.attempts[attempt.number.0];
+        let outcome = match state.outcome {
+            Some(AttemptOutcome::Succeeded) if entry.answered_by == Some(attempt.number) => {
+                entry.value = None;
+                entry.answered_by = None;
+                AttemptOutcome::Succeeded
+            }
+            Some(AttemptOutcome::Rejected) => AttemptOutcome::Rejected,
+            _ => return false,
+        };
+        state.outcome = Some(AttemptOutcome::MalformedResponse);
+        count_outcome(context, AttemptOutcome::MalformedResponse);
+        let sent_at = state.requested_at;
+        self.pending_withdrawals.push(WithdrawnResponse { attempt, node: state.node, outcome, sent_at });
+        true
     }
 
     /// Sets the outcome of an attempt. Returns `None` if the attempt has ended before or its query has been released.
@@ -253,9 +289,14 @@
         self.pending_outcomes.extend(finished);
     }
 
-    /// Returns whether there are outcomes that have not been reported to the balancer.
+    /// Returns whether there are outcomes or withdrawals that have not been reported to the balancer.
     pub fn has_pending_outcomes(&self) -> bool {
-        !self.pending_outcomes.is_empty()
+        !self.pending_outcomes.is_empty() || !self.pending_withdrawals.is_empty()
+    }
+
+    /// Removes and returns the withdrawals that have not been reported to the balancer.
+    pub fn take_pending_withdrawals(&mut self) -> Vec<WithdrawnResponse> {
+        std::mem::take(&mut self.pending_withdrawals)
     }
 
     /// Removes and returns the outcomes that have not been reported to the balancer.
--- a/crates/query-router/src/router/reports.rs
+++ b/crates/query-router/src/router/reports.rs
@@ -9,6 +9,7 @@
 use crate::router::state::State;
 use balancer::{
     AttemptEnd, Endpoint, EndpointUpdate, Events, HealthCheckEnd, LoadMetric, NodeId, ShardRequestArrival,
+    WithdrawnResponse,
 };
 
 impl Router {
@@ -62,6 +63,12 @@
         self.decision_needed = true;
     }
 
+    /// Reports the withdrawal of a response to the balancer.
+    pub(super) fn report_withdrawal(&mut self, withdrawn: &WithdrawnResponse) {
+        self.balancer.response_withdrawn(self.state.context.now, withdrawn);
+        self.decision_needed = true;
+    }
+
     /// Reports a failed request to discovery to the balancer.
     pub(super) fn report_discovery_failure(&mut self) {
         let now = self.state.context.now;
--- a/crates/query-router/src/router/tests/response_ends.rs
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -141,3 +141,88 @@
     assert!(rig.peers.closed.contains(&connection));
     assert_eq!(rig.router.counters().attempts_succeeded, 0);
 }
+
+/// Returns a router with a query for the shards 0 and 1, of which 1 has answered with the first part of its value, and
+/// then received the rest of the value while shard 0 is awaited.
+fn rig_after_rest_of_value(class: &str) -> (Rig<RecordingPeers>, ConnectionId, ConnectionId) {
+    let mut rig = Rig::new();
+    let client = rig.send_query(class, "t1");
+    let (connection, _) = rig.establish_last();
+    let bytes = frame_with_short_length(&format!("t1.1 OK 5 -\n{VALUE}"), 8);
+    let (first_part, rest) = bytes.split_at(bytes.len() - 8);
+    rig.receive(connection, first_part);
+    rig.decide();
+    rig.receive(connection, rest);
+    rig.decide();
+    (rig, client, connection)
+}
+
+/// Guards against a value that is served cut off although its rest arrived, by a later read, before the answer.
+#[test]
+fn a_response_whose_rest_arrives_by_a_later_read_is_withdrawn() {
+    let (rig, client, connection) = rig_after_rest_of_value("pay");
+    assert!(rig.written(client).starts_with("HTTP/1.1 502"), "{}", rig.written(client));
+    assert!(rig.peers.closed.contains(&connection));
+    assert_eq!(rig.router.counters().responses_withdrawn, 1);
+}
+
+/// Guards against a value of a withdrawn response that remains in the answer, or keeps the shard from another attempt.
+#[test]
+fn a_withdrawn_response_is_replaced_by_another_attempt() {
+    let (mut rig, client, first) = rig_after_rest_of_value("look");
+    assert_eq!((rig.written(client), rig.router.counters().attempts_retried), (String::new(), 2));
+    assert!(rig.peers.closed.contains(&first));
+    let (second, _) = rig.establish_last();
+    rig.respond(second, "t1.0 OK 5 -", "alpha");
+    rig.respond(second, "t1.1 OK 5 -", VALUE);
+    rig.decide();
+    assert!(rig.written(client).starts_with("HTTP/1.1 200") && rig.written(client).contains(VALUE));
+}
+
+/// Guards against a retry of an attempt that may have been executed, after a rejection whose frame proves to be broken.
+#[test]
+fn a_withdrawn_rejection_does_not_prove_that_the_attempt_was_not_executed() {
+    for following in [&b"5"[..], b"\0", b"\r\n"] {
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        rig.respond(connection, "t1.1 REJECTED 0 -", "");
+        rig.receive(connection, following);
+        rig.decide();
+        let is_withdrawn = following == b"5";
+        let counters = rig.router.counters();
+        let counts = (counters.responses_withdrawn, counters.attempts_retried);
+        assert_eq!(counts, if is_withdrawn { (1, 0) } else { (0, 1) }, "{following:?}");
+        assert_eq!(rig.written(client).starts_with("HTTP/1.1 502"), is_withdrawn, "{following:?}");
+    }
+}
+
+/// Guards against a withdrawal that ends, or changes, a later query: after the answer it is only counted.
+#[test]
+fn text_that_arrives_after_the_answer_is_counted_and_closes_the_connection() {
+    for following in ["5", "noise"] {
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        rig.respond(connection, "t1.1 OK 5 -", VALUE);
+        rig.decide();
+        assert!(rig.written(client).starts_with("HTTP/1.1 200"));
+        rig.send_query("pay", "t2");
+        rig.receive(connection, following.as_bytes());
+        rig.decide();
+        let counters = rig.router.counters();
+        assert_eq!((counters.responses_withdrawn, counters.responses_ambiguous_after_use), (0, 1));
+        assert!(rig.peers.closed.contains(&connection));
+    }
+}
+
+/// Guards against a long value that is served cut off although a read ends exactly where its frame does.
+#[test]
+fn a_long_response_that_is_read_up_to_its_stated_end_is_withdrawn() {
+    let payload = format!("t1.1 OK 5 -\n{}", VALUE.repeat(2_500));
+    for missing in [1, 8, 40_000] {
+        let bytes = frame_with_short_length(&payload, missing);
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        let (first_part, rest) = bytes.split_at(bytes.len() - missing);
+        rig.receive(connection, first_part);
+        rig.receive(connection, rest);
+        rig.decide();
+        assert!(rig.written(client).starts_with("HTTP/1.1 502"), "length too small by {missing}");
+    }
+}
