A load report is not used if text stands behind its frame

What was seen: a response to a health check whose stated length is too small gives a wrong figure, such as `util=0.6` for `util=0.61`; a related path of the cut value, found by reading.

Cause: like a value, a load report extends to the end of its frame, and the bytes behind it were looked at only after it had been used.

Evidence: `a_load_report_whose_length_is_too_small_is_not_used` failed without the change, (1, 0) instead of (0, 1): the report was used.

Change: a report with text behind it is malformed. `OK`, `ERROR` and `-` are complete in themselves and are used as before.

--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -93,7 +93,7 @@
     let payload = frame.payload;
     match frame.kind {
         FrameKind::Response => receive_response(context, queries, id, payload, following),
-        FrameKind::Health | FrameKind::Load => receive_health(context, id, payload),
+        FrameKind::Health | FrameKind::Load => receive_health(context, id, payload, following),
         FrameKind::ProtocolError => {
             // The node closes the connection after this frame, so queued attempts end as not sent and can be retried on
             // another connection.
@@ -156,11 +156,18 @@
     if ignored { FrameOutcome::Handled } else { FrameOutcome::Malformed }
 }
 
-/// Handles the response to a health check: the node's load, `OK`, `ERROR` or `-`.
-fn receive_health<'a>(context: &mut Context, id: ConnectionId, payload: &'a [u8]) -> FrameOutcome<'a> {
+/// Handles the response to a health check: the node's load, `OK`, `ERROR` or `-`. The words are complete in themselves;
+/// a load report is not used if the bytes after it may belong to its last figure.
+fn receive_health<'a>(
+    context: &mut Context, id: ConnectionId, payload: &'a [u8], following: &[u8],
+) -> FrameOutcome<'a> {
     let Ok(text) = std::str::from_utf8(payload) else { return FrameOutcome::Malformed };
+    let is_word = matches!(text, "OK" | "ERROR" | "-");
+    if !is_word && FrameEnd::from_following(following) == FrameEnd::Ambiguous {
+        return FrameOutcome::Malformed;
+    }
     let outcome = if text == "ERROR" { AttemptOutcome::ServerError } else { AttemptOutcome::Succeeded };
-    let load = if matches!(text, "OK" | "ERROR" | "-") { "" } else { text };
+    let load = if is_word { "" } else { text };
     match finish_health_check(context, id, outcome, parse_load(load).unwrap_or_default()) {
         Some(report) => FrameOutcome::Report(report),
         None => FrameOutcome::Handled,
--- a/crates/query-router/src/router/tests/response_ends.rs
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -2,6 +2,8 @@
 //! followed by other bytes.
 
 use super::*;
+use crate::router::node_connections::{self, NodeReport};
+use crate::router::state::State;
 
 /// The value of the shard request `t1.1` in these tests.
 const VALUE: &str = "5be2a07c19f04d63";
@@ -226,3 +228,48 @@
         assert!(rig.written(client).starts_with("HTTP/1.1 502"), "length too small by {missing}");
     }
 }
+
+/// Returns the outcomes of the health checks whose response, with the bytes after it, is `bytes`: the numbers of load
+/// reports used, and of connections closed.
+fn outcome_of_health_check(bytes: &[u8]) -> (usize, usize) {
+    let mut rig = Rig::new();
+    rig.router.state.check_health(NodeId(0));
+    rig.run_effects();
+    let (connection, _) = rig.establish_last();
+    let State { context, queries, .. } = &mut rig.router.state;
+    let mut used_reports = 0;
+    let mut offset = 0;
+    while let Some(report) = node_connections::next_report(context, queries, connection, bytes, &mut offset) {
+        if let NodeReport::HealthCheck { load, .. } = report {
+            used_reports += usize::from(!load.is_empty());
+        }
+    }
+    rig.run_effects();
+    (used_reports, rig.peers.closed.len())
+}
+
+/// Guards against a load figure that is cut off: 0.6 instead of 0.61.
+#[test]
+fn a_load_report_whose_length_is_too_small_is_not_used() {
+    let mut bytes = frame(b'T', "inflight=7,util=0.61");
+    assert_eq!(outcome_of_health_check(&bytes), (1, 0));
+    bytes[3] -= 1;
+    assert_eq!(outcome_of_health_check(&bytes), (0, 1));
+}
+
+/// Guards against responses to health checks that are discarded although their end is certain.
+#[test]
+fn a_response_to_a_health_check_that_is_complete_in_itself_is_used() {
+    let load = frame(b'T', "inflight=7,util=0.61");
+    assert_eq!(outcome_of_health_check(&[&load, &frame(b'G', "OK")[..]].concat()), (1, 0));
+    for word in ["OK", "ERROR", "-"] {
+        let mut rig = Rig::new();
+        rig.router.state.check_health(NodeId(0));
+        rig.run_effects();
+        let (connection, _) = rig.establish_last();
+        let State { context, queries, .. } = &mut rig.router.state;
+        let bytes = [&frame(b'T', word), &b"noise"[..]].concat();
+        let report = node_connections::next_report(context, queries, connection, &bytes, &mut 0);
+        assert!(matches!(report, Some(NodeReport::HealthCheck { .. })), "{word}");
+    }
+}
