A retry does not use the connection of the rejection before it

What callers would see: a shard request of a class that may not be executed twice is executed twice.

Cause: a node may send a second copy straight behind a response. If it arrives by a later read, after the rejected attempt was retried on the same connection, it is taken for the response to the retry, since responses bear no attempt number: the retry counts as proven not executed.

Evidence: `a_rejection_that_arrives_again_does_not_end_the_retry` failed before, 2 rejections instead of 1, with a third attempt while the second was in flight (one node, replica of all shards).

Change: a response to the last answered shard request may still arrive on a connection, so `may_receive_response_to` names it and the retry goes on another one.

--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -243,9 +243,11 @@
         !(self.in_flight.is_empty() && self.health_check_deadlines.is_empty() && self.cancelled.is_empty())
     }
 
-    /// Returns whether a response to the shard request with this id may still arrive on the connection.
+    /// Returns whether a response to the shard request with this id may still arrive on the connection: to an attempt in
+    /// flight or cancelled, or the last response a second time.
     pub fn may_receive_response_to(&self, request_id: &str) -> bool {
-        self.cancelled.iter().chain(self.in_flight.iter().map(|sent| &sent.id)).any(|id| **id == *request_id)
+        let in_flight = self.in_flight.iter().map(|sent| &sent.id);
+        self.cancelled.iter().chain(in_flight).chain(&self.last_answered).any(|id| **id == *request_id)
     }
 
     /// Queues a batch.
--- a/crates/query-router/src/router/tests/response_ends.rs
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -273,3 +273,27 @@
         assert!(matches!(report, Some(NodeReport::HealthCheck { .. })), "{word}");
     }
 }
+
+/// Guards against a retry that counts as rejected, and is retried although it is being executed, because the rejection
+/// of the attempt before it arrives a second time.
+#[test]
+fn a_rejection_that_arrives_again_does_not_end_the_retry() {
+    let second_node = CONFIG.find(",\n      {\"id\":\"b\"").expect("the entry of the second node");
+    let end_of_list = CONFIG.find("]},").expect("the end of the list");
+    let mut rig = Rig::with_config(&[&CONFIG[..second_node], &CONFIG[end_of_list..]].concat());
+    let client = rig.send_query("pay", "t1");
+    let (first, _) = rig.establish_last();
+    rig.respond(first, "t1.0 OK 5 -", "alpha");
+    rig.respond(first, "t1.1 REJECTED 0 -", "");
+    while rig.router.counters().attempts_retried == 0 {
+        rig.decide_and_advance(1_000);
+    }
+    rig.respond(first, "t1.1 REJECTED 0 -", "");
+    rig.decide();
+    let (second, _) = rig.establish_last();
+    rig.decide_and_advance(100_000);
+    assert_eq!(rig.router.counters().attempts_rejected, 1);
+    rig.respond(second, "t1.1 OK 5 -", VALUE);
+    rig.decide();
+    assert!(rig.written(client).starts_with("HTTP/1.1 200") && rig.written(client).contains(VALUE));
+}
