A decision waits for the rest of a read after a response

What callers would see: a value that is served cut off although its rest lies in the socket.

Cause: a connection is read four times in an iteration, then the router decides. If the fourth read ends where the response does by its stated length, its rest is unread at the decision. Short reads make that possible for small responses too.

Change: `Event::ReadPaused` says that a read goes on in the next iteration. If a response ends the bytes read so far, the next decision waits for that iteration, never twice in a row.

--- a/crates/query-router/src/event_loop/iteration.rs
+++ b/crates/query-router/src/event_loop/iteration.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Maximum number of reads from one connection per iteration, so that a fast sender cannot starve other connections.
-const MAX_READS_PER_ITERATION: usize = 4;
+pub(super) const MAX_READS_PER_ITERATION: usize = 4;
 
 /// The order in which the ready connections are handled in one iteration, which may come long after their events.
 /// Otherwise a request could be sent although, in the same iteration, its node began to drain or its client disconnected.
@@ -118,6 +118,7 @@
         }
         // The connection may still be readable, but the edge-triggered source does not report that again.
         self.read_in_next_iteration(connection);
+        self.report_event(Event::ReadPaused(connection));
     }
 
     /// Closes a connection after a read returned the end of the stream or an error.
--- a/crates/query-router/src/event_loop/tests.rs
+++ b/crates/query-router/src/event_loop/tests.rs
@@ -205,3 +205,21 @@
     let discovery = router.connection_to(discovery_address);
     assert!(router.server.turn(discovery) < router.server.turn(node));
 }
+
+/// Guards against a value that is served cut off because the router decides while its rest is unread.
+#[test]
+fn router_does_not_decide_between_two_reads_of_one_response() {
+    let mut router = TestRouter::new();
+    let mut client = router.connect();
+    client.write_all(query("t1").as_bytes()).expect("writing to the router");
+    let mut node_connection = router.accept_at_node();
+    assert!(router.read_frame(&mut node_connection).starts_with("t1.0 "));
+    // All reads of an iteration together end where the response does by its stated length, and its rest is unread then.
+    let response = frame(b'Y', "t1.0 OK 5 -\n5be2a07");
+    let reads = super::iteration::MAX_READS_PER_ITERATION;
+    assert_eq!(response.len() % reads, 0);
+    router.server.read_buffer = vec![0; response.len() / reads];
+    node_connection.write_all(&[&response[..], b"c19f04d63"].concat()).expect("writing to the router");
+    assert_eq!(router.read_response(&mut client), "HTTP/1.1 502 Bad Gateway");
+    assert_eq!(router.server.router.counters().responses_withdrawn, 1);
+}
--- a/crates/query-router/src/io.rs
+++ b/crates/query-router/src/io.rs
@@ -30,6 +30,9 @@
         /// All received bytes that are not consumed yet, those reported before included.
         bytes: &'a [u8],
     },
+    /// Reading from a connection paused although more bytes may be available; it continues in the next iteration, before
+    /// the router decides.
+    ReadPaused(ConnectionId),
     /// All bytes queued on a connection have been passed to the operating system.
     Flushed(ConnectionId),
     /// The peer closed its side of a connection (end of stream); [`Event::Ended`] follows.
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -331,6 +331,11 @@
         self.unconfirmed_response = is_unconfirmed.then_some(UnconfirmedResponse { request_id, attempt });
     }
 
+    /// Returns whether the end of the last response is unknown, since no byte has followed it.
+    pub fn has_unconfirmed_response(&self) -> bool {
+        self.unconfirmed_response.is_some()
+    }
+
     /// Handles the bytes that were received after the last response, if its end was unknown until then. Returns the
     /// response if these bytes may belong to it.
     pub fn confirm_last_response(&mut self, following: &[u8]) -> Option<UnconfirmedResponse> {
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -4,7 +4,7 @@
 //! This module dispatches events to the components and passes their results to the balancer. A component uses neither
 //! the balancer nor any component above it. From the bottom:
 //!
-//! - `timers`, `shutdown`, `endpoints` and `connection`: state without effects
+//! - `timers`, `shutdown`, `read_wait`, `endpoints` and `connection`: state without effects
 //! - `rules`: preconditions of actions
 //! - `context`: the state that all components share
 //! - `query_table`: the queries in progress
@@ -21,6 +21,7 @@
 mod endpoints;
 mod node_connections;
 mod query_table;
+mod read_wait;
 mod reports;
 mod rules;
 mod shutdown;
@@ -36,7 +37,9 @@
 use balancer::{AttemptOutcome, Balancer, EndpointUpdate, Events, Micros};
 use connection::ConnectionKind;
 use connection::discovery::{BodyProgress, EndpointList};
+use connection::node::NodeConnection;
 use discovery::RequestOutcome;
+use read_wait::ReadWait;
 use state::State;
 use std::net::SocketAddr;
 use timers::Timer;
@@ -47,6 +50,8 @@
     state: State,
     /// Whether the balancer has received a report or an expired timer since its last decision; initially true.
     decision_needed: bool,
+    /// Whether the next decision waits for the rest of a read.
+    read_wait: ReadWait,
     last_decision_at: Micros,
     /// The time of the last [`Effect::WakeAt`]; `None` if no timer is set.
     wake_at: Option<Micros>,
@@ -60,6 +65,7 @@
             balancer: Balancer::new(config.seed, config.settings.clone()),
             state: State::new(config, now),
             decision_needed: true,
+            read_wait: ReadWait::None,
             last_decision_at: 0,
             wake_at: None,
         };
@@ -92,6 +98,7 @@
             Event::ConnectDelayed(id) => node_connections::connect_delayed(&mut self.state.context, id),
             Event::Established(id) => self.established(id),
             Event::Received { connection: id, bytes } => self.received(id, bytes),
+            Event::ReadPaused(id) => self.read_paused(id),
             Event::Flushed(id) => self.flushed(id),
             Event::PeerClosed(id) => self.closed_by_peer(id),
             Event::Ended { connection: id, written_bytes } => self.ended(id, written_bytes),
@@ -123,7 +130,8 @@
         // Deciding after each event made the balancer send several times as many hedged attempts, which overloaded
         // nodes with just enough capacity.
         let interval_is_over = now >= self.last_decision_at + self.state.context.limits.decision_interval;
-        if interval_is_over && std::mem::take(&mut self.decision_needed) {
+        let waits_for_read = self.read_wait.end_iteration();
+        if interval_is_over && !waits_for_read && std::mem::take(&mut self.decision_needed) {
             self.last_decision_at = now;
             self.state.context.counters.decisions += 1;
             self.balancer.decide(now, &mut self.state);
@@ -180,6 +188,14 @@
         }
     }
 
+    /// Lets the next decision wait if the rest of a read may show that a response is cut off.
+    fn read_paused(&mut self, id: ConnectionId) {
+        let connection = self.state.context.connections.node(id);
+        if connection.is_some_and(NodeConnection::has_unconfirmed_response) {
+            self.read_wait.request();
+        }
+    }
+
     fn flushed(&mut self, id: ConnectionId) {
         let State { context, queries, clients, .. } = &mut self.state;
         match context.connections.kind(id) {
--- a/crates/query-router/src/router/tests/response_ends.rs
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -297,3 +297,24 @@
     rig.decide();
     assert!(rig.written(client).starts_with("HTTP/1.1 200") && rig.written(client).contains(VALUE));
 }
+
+/// Guards against a value that is served cut off because the router decides between two reads that belong together.
+#[test]
+fn a_decision_waits_once_for_the_rest_of_a_read_after_a_response() {
+    let bytes = frame_with_short_length(&format!("t1.1 OK 5 -\n{VALUE}"), 8);
+    let (first_part, rest) = bytes.split_at(bytes.len() - 8);
+    for is_rest_received in [true, false] {
+        let (mut rig, client, connection) = rig_awaiting_response("pay");
+        rig.receive(connection, first_part);
+        rig.step(Event::ReadPaused(connection));
+        rig.decide();
+        assert_eq!(rig.written(client), "");
+        if is_rest_received {
+            rig.receive(connection, rest);
+        }
+        rig.step(Event::ReadPaused(connection));
+        rig.decide();
+        let status = if is_rest_received { "HTTP/1.1 502" } else { "HTTP/1.1 200" };
+        assert!(rig.written(client).starts_with(status), "{}", rig.written(client));
+    }
+}
