Tests of messages of discovery and clients whose length is too small

Related paths of the cut value: a body by length, a chunk, a line of a watch and a client's request, each too short by every number of bytes. All are JSON, which states its own end, so a part is never taken for the whole.

--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -8,6 +8,7 @@
 mod drain_grid;
 mod endpoints;
 mod event_sequences;
+mod message_ends;
 mod node_connections;
 mod queries;
 mod response_ends;
