Soak: data nodes cut off some responses and send surplus bytes after others

Cause: the nodes of the soak knew no response whose stated length is too small, so no seed could find that fault; what was served was compared already.

Change: in seeds 2 and 3 of every four, 4 % of the responses are cut off by 1 byte, half or all of their value (followed by the rest alone, a copy, or another frame; then nothing more comes on the connection), sent twice, or followed by noise that no value contains. Each altered response is recorded, shown in the trace of a violation, and counted. The schedules of all seeds stay as they were.

--- a/crates/soak/src/checker/answers.rs
+++ b/crates/soak/src/checker/answers.rs
@@ -3,6 +3,7 @@
 use super::{Checker, MEASUREMENT_TOLERANCE};
 use crate::clock::{MILLISECOND, Micros};
 use crate::record::Record;
+use crate::response::value_of;
 use serde_json::Value as Json;
 use std::collections::BTreeSet;
 
@@ -98,7 +99,7 @@
         if !shards.contains(&shard) || !seen.insert(shard) {
             return Err("a shard was not requested or is present twice");
         }
-        if value["payload"] != format!("{shard}/{id}") {
+        if value["payload"] != value_of(&shard.to_string(), id) {
             return Err("a value differs from that of the node");
         }
     }
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -131,6 +131,10 @@
     pub failed: usize,
     pub attempts: usize,
     pub repeated_attempts: usize,
+    /// Responses that nodes cut off by the length of their frames.
+    pub responses_cut_off: usize,
+    /// Valid responses that nodes sent with surplus bytes after them.
+    pub responses_with_surplus: usize,
     pub peaks: Peaks,
 }
 
@@ -147,7 +151,7 @@
     checker.check_clients(records);
     checker.check_routers();
     checker.violations.sort_by_key(|violation| violation.at);
-    (checker.totals(), checker.violations)
+    (checker.totals(records), checker.violations)
 }
 
 impl<'a> Checker<'a> {
@@ -392,7 +396,7 @@
         }
     }
 
-    fn totals(&self) -> Totals {
+    fn totals(&self, records: &[Record]) -> Totals {
         let (requests, attempts, peaks) = (self.requests.len(), self.attempts.len(), self.peaks);
         let mut totals = Totals { requests, attempts, peaks, ..Totals::default() };
         for request in self.requests.values() {
@@ -403,6 +407,13 @@
                 None => {}
             }
         }
+        for record in records {
+            match record {
+                Record::Responded { form, .. } if form.is_cut_off() => totals.responses_cut_off += 1,
+                Record::Responded { .. } => totals.responses_with_surplus += 1,
+                _ => {}
+            }
+        }
         let distinct: BTreeSet<&str> = self.attempts.iter().map(|attempt| attempt.id).collect();
         totals.repeated_attempts = totals.attempts - distinct.len();
         totals
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -15,6 +15,11 @@
 
 /// The run of every seed that is a multiple of this number has idle connections.
 const IDLE_CONNECTIONS_EVERY: u64 = 3;
+/// In the run of every seed with this bit set, nodes cut off some responses and send surplus bytes after others. The
+/// lowest bit is that of pushed endpoint lists.
+const ALTERED_RESPONSES_SEED_BIT: u64 = 2;
+/// Percentage of such responses in those runs.
+const ALTERED_RESPONSES_PERCENT: u32 = 4;
 
 /// Number of processes of each kind.
 #[derive(Clone, Copy, Debug)]
@@ -136,7 +141,7 @@
     }
 
     fn add_node(&mut self, index: usize) {
-        let process = start_node(index, &self.records);
+        let process = start_node(index, self.seed, &self.records);
         let proxy = Proxy::start(process.address.parse().expect("the address is valid"));
         self.nodes.push(NodeHandle {
             process: Some(process),
@@ -221,7 +226,7 @@
 
     /// Starts a new process of a node, which behaves normally.
     pub fn restart_node(&mut self, node: usize) {
-        let process = start_node(node, &self.records);
+        let process = start_node(node, self.seed, &self.records);
         let handle = &mut self.nodes[node];
         handle.proxy.set_node(process.address.parse().expect("the address is valid"));
         handle.process = Some(process);
@@ -324,7 +329,9 @@
     }
 }
 
-fn start_node(index: usize, records: &Records) -> RecordingProcess {
-    let arguments = ["node".to_string(), "--index".to_string(), index.to_string()];
+fn start_node(index: usize, seed: u64, records: &Records) -> RecordingProcess {
+    let altered_percent = if seed & ALTERED_RESPONSES_SEED_BIT == 0 { 0 } else { ALTERED_RESPONSES_PERCENT };
+    let arguments = format!("node --index {index} --altered-percent {altered_percent}");
+    let arguments: Vec<String> = arguments.split(' ').map(str::to_string).collect();
     RecordingProcess::start(&arguments, records)
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 mod proxy;
 mod record;
 mod recording_process;
+mod response;
 mod router_process;
 mod run;
 mod schedule;
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -4,13 +4,14 @@
 use crate::clock::{now, sleep_ms};
 use crate::config::MEAN_SERVICE_TIME_MS;
 use crate::record::Record;
+use crate::response::{ResponseForm, frame, value_of};
 use crate::stall;
 use argh::FromArgs;
 use std::collections::HashSet;
 use std::io::{BufRead, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Serve shard requests as a data node.
 #[derive(FromArgs)]
@@ -19,6 +20,9 @@
     /// the node's index
     #[argh(option)]
     index: usize,
+    /// percentage of the responses that are cut off or followed by surplus bytes; default 0
+    #[argh(option, default = "0")]
+    altered_percent: u32,
 }
 
 /// How a data node handles shard requests.
@@ -63,6 +67,7 @@
 
 struct Shared {
     index: usize,
+    altered_percent: u32,
     behaviour: AtomicU8,
 }
 
@@ -74,10 +79,48 @@
 
 /// A connection from a router.
 struct Connection {
-    stream: TcpStream,
+    output: Mutex<Output>,
     cancelled: Mutex<HashSet<String>>,
 }
 
+/// The writing side of a connection. A mutex is held while a response is written, so that long responses do not mix.
+struct Output {
+    stream: TcpStream,
+    /// Whether a response was cut off, after which the node sends nothing more.
+    is_cut_off: bool,
+}
+
+impl Connection {
+    fn new(stream: TcpStream) -> Connection {
+        let output = Output { stream, is_cut_off: false };
+        Connection { output: Mutex::new(output), cancelled: Mutex::default() }
+    }
+
+    fn output(&self) -> MutexGuard<'_, Output> {
+        self.output.lock().expect("the mutex is not poisoned")
+    }
+
+    /// Sends bytes, unless a response was cut off.
+    fn send(&self, bytes: &[u8]) {
+        let mut output = self.output();
+        if !output.is_cut_off {
+            let _ = output.stream.write_all(bytes);
+        }
+    }
+
+    /// Sends a response in this form, and records it unless it is valid.
+    fn respond(&self, node: usize, id: &str, value: &str, form: ResponseForm) {
+        if form != ResponseForm::Valid {
+            Record::Responded { at: now(), node, id: id.to_string(), form }.print();
+        }
+        let mut output = self.output();
+        if !output.is_cut_off {
+            let _ = output.stream.write_all(&form.encode(id, value));
+            output.is_cut_off = form.is_cut_off();
+        }
+    }
+}
+
 impl Node {
     /// Serves until standard input ends.
     pub fn run(self) {
@@ -85,7 +128,8 @@
         let address = listener.local_addr().expect("the address is valid").to_string();
         Record::Ready { address }.print();
         stall::watch_and_print(Some(self.index));
-        let shared = Arc::new(Shared { index: self.index, behaviour: AtomicU8::new(0) });
+        let Node { index, altered_percent } = self;
+        let shared = Arc::new(Shared { index, altered_percent, behaviour: AtomicU8::new(0) });
         let served = shared.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -105,7 +149,7 @@
 fn serve(mut stream: TcpStream, shared: &Arc<Shared>) {
     let _ = stream.set_nodelay(true);
     let Ok(writer) = stream.try_clone() else { return };
-    let connection = Arc::new(Connection { stream: writer, cancelled: Mutex::new(HashSet::new()) });
+    let connection = Arc::new(Connection::new(writer));
     let mut header = [0; 5];
     while stream.read_exact(&mut header).is_ok() {
         let length = u32::from_be_bytes([header[0], header[1], header[2], header[3]]) as usize;
@@ -119,8 +163,8 @@
             b'A' => {
                 connection.cancelled.lock().expect("the mutex is not poisoned").insert(text);
             }
-            b'G' => send(&connection.stream, b'G', "OK"),
-            b'T' => send(&connection.stream, b'T', "-"),
+            b'G' => connection.send(&frame(b'G', "OK")),
+            b'T' => connection.send(&frame(b'T', "-")),
             _ => return,
         }
     }
@@ -139,15 +183,16 @@
         let id = fields[0].to_string();
         let is_executed = behaviour != Behaviour::Reject;
         Record::Received { at, node: shared.index, id: id.clone(), wait_ms, is_executed }.print();
-        let value = format!("{}/{query}", fields[1]);
-        let connection = connection.clone();
-        std::thread::spawn(move || respond(&connection, behaviour, &id, &value));
+        let value = value_of(fields[1], query);
+        let (connection, shared) = (connection.clone(), shared.clone());
+        std::thread::spawn(move || respond(&connection, &shared, behaviour, &id, &value));
         rest = next;
     }
 }
 
 /// Executes a shard request and responds as `behaviour` says, unless it was cancelled in the meantime.
-fn respond(connection: &Connection, behaviour: Behaviour, id: &str, value: &str) {
+fn respond(connection: &Connection, shared: &Shared, behaviour: Behaviour, id: &str, value: &str) {
+    let Shared { index: node, altered_percent, .. } = *shared;
     let service_time = match behaviour {
         Behaviour::Reject => 0,
         Behaviour::Slow => SLOW_SERVICE_TIME_MS,
@@ -160,30 +205,21 @@
     }
     match behaviour {
         Behaviour::Serve | Behaviour::Slow => {
-            send(&connection.stream, b'Y', &format!("{id} OK 1 -\n{value}"))
+            connection.respond(node, id, value, ResponseForm::draw(altered_percent))
         }
-        Behaviour::Reject => send(&connection.stream, b'Y', &format!("{id} REJECTED 0 -\n")),
-        Behaviour::Fail => send(&connection.stream, b'Y', &format!("{id} ERROR 0 -\n")),
+        Behaviour::Reject => connection.send(&frame(b'Y', &format!("{id} REJECTED 0 -\n"))),
+        Behaviour::Fail => connection.send(&frame(b'Y', &format!("{id} ERROR 0 -\n"))),
         Behaviour::Hang => {}
-        Behaviour::Reset => reset(&connection.stream),
-        Behaviour::HalfAnswer => {
-            let _ = (&connection.stream).write_all(&[0, 0, 0, 40, b'Y', b't']);
-        }
-        Behaviour::Noise => {
-            let _ = (&connection.stream).write_all(b"\x00\x00\x00\x05noise");
-        }
+        Behaviour::Reset => reset(&connection.output().stream),
+        Behaviour::HalfAnswer => connection.send(&[0, 0, 0, 40, b'Y', b't']),
+        Behaviour::Noise => connection.send(b"\x00\x00\x00\x05noise"),
         Behaviour::CloseIdle => {
-            send(&connection.stream, b'Y', &format!("{id} OK 1 -\n{value}"));
-            let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+            connection.respond(node, id, value, ResponseForm::Valid);
+            let _ = connection.output().stream.shutdown(std::net::Shutdown::Both);
         }
     }
 }
 
-fn send(mut stream: &TcpStream, frame_type: u8, payload: &str) {
-    let length = (payload.len() as u32 + 1).to_be_bytes();
-    let _ = stream.write_all(&[&length[..], &[frame_type], payload.as_bytes()].concat());
-}
-
 /// Closes a connection with a reset.
 pub fn reset(stream: &TcpStream) {
     let _ = rustix::net::sockopt::set_socket_linger(stream, Some(std::time::Duration::ZERO));
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,6 +2,7 @@
 //! output.
 
 use crate::clock::Micros;
+use crate::response::ResponseForm;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 
@@ -13,6 +14,8 @@
     /// A data node received a shard request that states a remaining time of `wait_ms`. `is_executed` is false if the
     /// node rejects it.
     Received { at: Micros, node: usize, id: String, wait_ms: i64, is_executed: bool },
+    /// A data node responds in a form other than [`ResponseForm::Valid`].
+    Responded { at: Micros, node: usize, id: String, form: ResponseForm },
     /// A client has written the last byte of a request. `behind` is the pipelined request before it, which has no
     /// response yet.
     Asked {
@@ -48,6 +51,7 @@
         match self {
             Record::Ready { .. } | Record::BadClientEnded { .. } | Record::Stalled { .. } => None,
             Record::Received { id, .. }
+            | Record::Responded { id, .. }
             | Record::Asked { id, .. }
             | Record::Answered { id, .. }
             | Record::Lost { id, .. }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -151,7 +151,7 @@
         }
         println!(
             "seed {seed}: {} violations; {} requests, {} complete, {} rejected, {} failed; {} attempts, {} repeated; \
-             {} actions, {faults} faults injected into system calls; attempts at most {} ms beyond a deadline and {} ms \
+             {} responses cut off, {} with surplus bytes; {} actions, {faults} faults injected into system calls; attempts at most {} ms beyond a deadline and {} ms \
              after the end of a request, longest stall {} ms, {} attempts near stalls checked by the wider bound",
             violations.len(),
             totals.requests,
@@ -160,6 +160,8 @@
             totals.failed,
             totals.attempts,
             totals.repeated_attempts,
+            totals.responses_cut_off,
+            totals.responses_with_surplus,
             schedule.history.len(),
             totals.peaks.deadline_excess / MILLISECOND,
             totals.peaks.after_end / MILLISECOND,
