Responses that a node connection expects are tracked in their own type

`ResponseTracker` now holds the attempts in flight, the cancelled ids and the last response; the connection keeps its queue, health checks, offsets and reuse. A late response is classified by an enum in place of a flag.

--- a/crates/query-router/src/router/connection/mod.rs
+++ b/crates/query-router/src/router/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod node;
 pub mod outgoing_queue;
+pub mod response_tracker;
 
 use crate::io::ConnectionId;
 use balancer::Micros;
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -1,15 +1,12 @@
 //! The state of a node connection: queued frames, attempts in flight, health checks, and whether it can be reused.
 
-use crate::protocol::frames::FrameEnd;
 use crate::router::connection::outgoing_queue::{HealthCheckKind, OutgoingFrame, OutgoingQueue};
+use crate::router::connection::response_tracker::{LateResponse, ResponseTracker};
 use balancer::{AttemptId, Micros, NodeId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// The length of the start of a malformed or partial frame that is searched for the id of a shard request.
-const ID_SEARCH_BYTES: usize = 256;
-
 /// Whether a node connection is established, and since when.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Establishment {
@@ -50,26 +47,6 @@
     MalformedResponse(AttemptId),
 }
 
-/// An attempt whose frame was passed to the event loop, and which has no response yet.
-#[derive(Debug)]
-pub struct InFlight {
-    /// The shard request's id on the wire.
-    pub id: Rc<str>,
-    /// The attempt that was sent.
-    pub attempt: AttemptId,
-    /// The offset of the end of the attempt's frame in all bytes written on the connection.
-    pub end_offset: u64,
-}
-
-/// A response of which nothing was received but the frame: bytes that follow may show that it is cut off.
-#[derive(Clone, Debug)]
-pub struct UnconfirmedResponse {
-    /// The shard request's id on the wire.
-    pub request_id: Rc<str>,
-    /// The attempt that was answered.
-    pub attempt: AttemptId,
-}
-
 /// A frame that was received in part.
 #[derive(Clone, Copy, Debug)]
 pub struct PartialFrame {
@@ -97,14 +74,8 @@
     bytes_submitted: u64,
     /// The number of submitted bytes that are known to be written.
     bytes_flushed: u64,
-    /// The attempts in flight, oldest first.
-    in_flight: Vec<InFlight>,
-    /// The ids of the shard requests last cancelled on the connection, to which a response may still arrive.
-    cancelled: VecDeque<Rc<str>>,
-    /// The id of the shard request to which the last response on the connection belongs.
-    last_answered: Option<Rc<str>>,
-    /// The last response, if its end is unknown since no byte has followed it.
-    unconfirmed_response: Option<UnconfirmedResponse>,
+    /// The attempts to which a response may arrive, and the last response.
+    pub responses: ResponseTracker,
     /// Whether further batches may be sent. False after a response to a shard request that was not in flight or
     /// cancelled, after the cancellation of an attempt whose response is overdue if no frame has arrived since the
     /// attempt was requested, and when the connection is aborted because of a partly written frame or because the node
@@ -132,10 +103,7 @@
             queue: OutgoingQueue::default(),
             bytes_submitted: 0,
             bytes_flushed: 0,
-            in_flight: Vec::new(),
-            cancelled: VecDeque::new(),
-            last_answered: None,
-            unconfirmed_response: None,
+            responses: ResponseTracker::default(),
             reusable: true,
             last_frame_at: 0,
             partial_frame: None,
@@ -173,7 +141,7 @@
     /// no health check without a response. `None` if it is not idle.
     pub fn idle_since(&self) -> Option<Micros> {
         let idle = self.is_established()
-            && self.in_flight.is_empty()
+            && self.responses.in_flight().is_empty()
             && self.queue.is_empty()
             && self.health_check_deadlines.is_empty();
         idle.then_some(self.idle_from)
@@ -208,14 +176,14 @@
     /// Sets the cause of the close after malformed bytes. Returns the attempt whose response counts as malformed: the
     /// one `named` in the bytes, or else the oldest in flight. `None` if no attempt is in flight.
     pub fn set_malformed(&mut self, named: Option<AttemptId>) -> Option<AttemptId> {
-        let malformed = named.or(self.in_flight.first().map(|sent| sent.attempt));
+        let malformed = named.or(self.responses.in_flight().first().map(|sent| sent.attempt));
         self.close_cause = malformed.map_or(CloseCause::Local, CloseCause::MalformedResponse);
         malformed
     }
 
     /// Returns the number of attempts that are queued or in flight.
     pub fn attempt_count(&self) -> usize {
-        self.in_flight.len() + self.queue.attempts().count()
+        self.responses.in_flight().len() + self.queue.attempts().count()
     }
 
     /// Records that the event loop has written all submitted bytes.
@@ -240,14 +208,7 @@
 
     /// Returns whether a response to an earlier frame may still arrive.
     pub fn awaits_response(&self) -> bool {
-        !(self.in_flight.is_empty() && self.health_check_deadlines.is_empty() && self.cancelled.is_empty())
-    }
-
-    /// Returns whether a response to the shard request with this id may still arrive on the connection: to an attempt in
-    /// flight or cancelled, or the last response a second time.
-    pub fn may_receive_response_to(&self, request_id: &str) -> bool {
-        let in_flight = self.in_flight.iter().map(|sent| &sent.id);
-        self.cancelled.iter().chain(in_flight).chain(&self.last_answered).any(|id| **id == *request_id)
+        self.responses.awaits_response() || !self.health_check_deadlines.is_empty()
     }
 
     /// Queues a batch.
@@ -280,22 +241,18 @@
         &mut self, attempt: AttemptId, request_id: &Rc<str>, max_cancelled: usize,
         unanswered_since: Option<Micros>,
     ) -> WriteProgress {
-        let Some(index) = self.in_flight.iter().position(|sent| sent.attempt == attempt) else {
+        let Some(sent) = self.responses.find(attempt) else {
             self.queue.remove(attempt);
             return WriteProgress::NotWritten;
         };
-        if self.in_flight[index].end_offset > self.bytes_flushed {
+        if sent.end_offset > self.bytes_flushed {
             self.abandon();
             return WriteProgress::PartlyWritten;
         }
-        self.in_flight.remove(index);
+        self.responses.cancel(attempt, max_cancelled);
         if unanswered_since.is_some_and(|requested_at| self.last_frame_at < requested_at) {
             self.reusable = false;
         }
-        if self.cancelled.len() == max_cancelled {
-            self.cancelled.pop_front();
-        }
-        self.cancelled.push_back(request_id.clone());
         self.queue.push(OutgoingFrame::Cancellation(request_id.clone()));
         WriteProgress::Written
     }
@@ -307,57 +264,15 @@
         self.bytes_submitted
     }
 
-    /// Adds attempts whose frame was passed to the event loop to those in flight.
-    pub fn add_in_flight(&mut self, sent: impl IntoIterator<Item = InFlight>) {
-        self.in_flight.extend(sent);
-    }
-
-    /// Removes and returns all attempts in flight.
-    pub fn take_in_flight(&mut self) -> Vec<InFlight> {
-        std::mem::take(&mut self.in_flight)
-    }
-
-    /// Returns the attempt in flight at the shard request with this id; `None` if there is none.
-    pub fn attempt_in_flight(&self, request_id: &str) -> Option<AttemptId> {
-        self.in_flight.iter().find(|sent| &*sent.id == request_id).map(|sent| sent.attempt)
-    }
-
-    /// Removes an attempt in flight, to which a response has arrived that ends as `end` states.
-    pub fn set_answered(&mut self, attempt: AttemptId, end: FrameEnd) {
-        let Some(index) = self.in_flight.iter().position(|sent| sent.attempt == attempt) else { return };
-        let request_id = self.in_flight.remove(index).id;
-        self.last_answered = Some(request_id.clone());
-        let is_unconfirmed = end == FrameEnd::Unknown;
-        self.unconfirmed_response = is_unconfirmed.then_some(UnconfirmedResponse { request_id, attempt });
-    }
-
-    /// Returns whether the end of the last response is unknown, since no byte has followed it.
-    pub fn has_unconfirmed_response(&self) -> bool {
-        self.unconfirmed_response.is_some()
-    }
-
-    /// Handles the bytes that were received after the last response, if its end was unknown until then. Returns the
-    /// response if these bytes may belong to it.
-    pub fn confirm_last_response(&mut self, following: &[u8]) -> Option<UnconfirmedResponse> {
-        match FrameEnd::from_following(following) {
-            FrameEnd::Unknown => None,
-            FrameEnd::Confirmed => {
-                self.unconfirmed_response = None;
-                None
-            }
-            FrameEnd::Ambiguous => self.unconfirmed_response.take(),
-        }
-    }
-
     /// Handles a response to a shard request that is not in flight. Unless the shard request was cancelled on the
     /// connection, the connection is not reused. Returns whether the response can be ignored: either the connection can
     /// still be reused, or the response repeats the last one.
     pub fn handle_late_response(&mut self, request_id: &str) -> bool {
-        let index = self.cancelled.iter().position(|known| **known == *request_id);
-        if index.and_then(|index| self.cancelled.remove(index)).is_none() {
+        let response = self.responses.record_late_response(request_id);
+        if response != LateResponse::Cancelled {
             self.reusable = false;
         }
-        self.reusable || self.last_answered.as_deref() == Some(request_id)
+        self.reusable || response == LateResponse::Repeated
     }
 
     /// Returns the frame that was received in part, if there is one.
@@ -368,7 +283,7 @@
     /// Records `consumed` bytes of complete frames that were read, and `rest`, the start of the next frame.
     pub fn record_received(&mut self, now: Micros, consumed: usize, rest: &[u8]) {
         let since = self.partial_frame.filter(|_| consumed == 0).map_or(now, |partial| partial.since);
-        let attempt = self.attempt_named_in(rest);
+        let attempt = self.responses.attempt_named_in(rest);
         self.partial_frame = (!rest.is_empty()).then_some(PartialFrame { since, attempt });
         if consumed > 0 {
             self.last_frame_at = now;
@@ -377,14 +292,6 @@
 
     /// Returns whether an attempt is in flight on the connection and known to be written in full.
     pub fn has_written(&self, attempt: AttemptId) -> bool {
-        self.in_flight.iter().any(|sent| sent.attempt == attempt && sent.end_offset <= self.bytes_flushed)
-    }
-
-    /// Returns the attempt in flight whose shard request is named at the start of these bytes, if any.
-    pub fn attempt_named_in(&self, bytes: &[u8]) -> Option<AttemptId> {
-        let start = &bytes[..bytes.len().min(ID_SEARCH_BYTES)];
-        let named =
-            |sent: &&InFlight| start.windows(sent.id.len()).any(|window| window == sent.id.as_bytes());
-        self.in_flight.iter().find(named).map(|sent| sent.attempt)
+        self.responses.find(attempt).is_some_and(|sent| sent.end_offset <= self.bytes_flushed)
     }
 }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -37,7 +37,6 @@
 use balancer::{AttemptOutcome, Balancer, EndpointUpdate, Events, Micros};
 use connection::ConnectionKind;
 use connection::discovery::{BodyProgress, EndpointList};
-use connection::node::NodeConnection;
 use discovery::RequestOutcome;
 use read_wait::ReadWait;
 use state::State;
@@ -191,7 +190,7 @@
     /// Lets the next decision wait if the rest of a read may show that a response is cut off.
     fn read_paused(&mut self, id: ConnectionId) {
         let connection = self.state.context.connections.node(id);
-        if connection.is_some_and(NodeConnection::has_unconfirmed_response) {
+        if connection.is_some_and(|connection| connection.responses.has_unconfirmed_response()) {
             self.read_wait.request();
         }
     }
--- a/crates/query-router/src/router/node_connections/lifecycle.rs
+++ b/crates/query-router/src/router/node_connections/lifecycle.rs
@@ -87,7 +87,7 @@
     let is_local_failure = connection.has_local_shortage();
     let cause = connection.close_cause();
     let queued: Vec<AttemptId> = connection.queue().attempts().collect();
-    let in_flight = connection.take_in_flight();
+    let in_flight = connection.responses.take_in_flight();
     context.counters.node_connections_failed += u64::from(!was_established);
     // The node counts as unreachable only if the connection was never established and no local shortage delayed it.
     let (not_written, check_outcome) = match (was_established, is_local_failure) {
--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -5,7 +5,7 @@
 };
 use crate::io::{ConnectionId, Effect};
 use crate::protocol::frames::{self, Frame, FrameEnd, FrameKind, ShardResponse};
-use crate::router::connection::node::UnconfirmedResponse;
+use crate::router::connection::response_tracker::UnconfirmedResponse;
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use balancer::{AttemptId, AttemptOutcome, LoadMetric};
@@ -31,7 +31,7 @@
 ) -> Option<NodeReport<'a>> {
     loop {
         let rest = &bytes[*offset..];
-        if let Some(response) = context.connections.node_mut(id).confirm_last_response(rest) {
+        if let Some(response) = context.connections.node_mut(id).responses.confirm_last_response(rest) {
             withdraw_response(context, queries, id, &response, rest);
             return None;
         }
@@ -50,7 +50,7 @@
             FrameOutcome::Report(report) => return Some(report),
             FrameOutcome::Handled => {}
             FrameOutcome::Malformed => {
-                let named = context.connections.node_mut(id).attempt_named_in(rest);
+                let named = context.connections.node_mut(id).responses.attempt_named_in(rest);
                 close_malformed(context, id, named);
                 return None;
             }
@@ -74,7 +74,7 @@
         close_malformed(context, id, Some(response.attempt));
     } else {
         context.counters.responses_ambiguous_after_use += 1;
-        let named = context.connections.node_mut(id).attempt_named_in(following);
+        let named = context.connections.node_mut(id).responses.attempt_named_in(following);
         close_malformed(context, id, named);
     }
 }
@@ -114,14 +114,14 @@
     let Ok(response) = ShardResponse::parse(payload) else { return FrameOutcome::Malformed };
     let ShardResponse { id: request_id, outcome, load_report: load, value } = response;
     let connection = context.connections.node_mut(id);
-    let Some(attempt) = connection.attempt_in_flight(request_id) else {
+    let Some(attempt) = connection.responses.attempt_at(request_id) else {
         return receive_late_response(context, id, request_id);
     };
     let end = FrameEnd::from_following(following);
     if end == FrameEnd::Ambiguous {
         return FrameOutcome::Ambiguous(attempt);
     }
-    connection.set_answered(attempt, end);
+    connection.responses.set_answered(attempt, end);
     context.counters.responses_with_surplus_bytes += u64::from(is_surplus(following, request_id));
     if outcome == AttemptOutcome::Succeeded {
         queries.store_value(attempt, value);
--- a/crates/query-router/src/router/node_connections/selection.rs
+++ b/crates/query-router/src/router/node_connections/selection.rs
@@ -119,7 +119,7 @@
     let is_queued = |id: &Rc<str>| {
         connection.queue().attempts().any(|attempt| queries.shard_request(attempt.shard_request).id == *id)
     };
-    let carries = |id: &Rc<str>| connection.may_receive_response_to(id) || is_queued(id);
+    let carries = |id: &Rc<str>| connection.responses.may_receive_response_to(id) || is_queued(id);
     !has_stray_partial_frame
         && context.endpoints[connection.node].address == Some(connection.address)
         && connection.is_reusable()
--- a/crates/query-router/src/router/node_connections/write.rs
+++ b/crates/query-router/src/router/node_connections/write.rs
@@ -3,8 +3,8 @@
 use super::lifecycle::set_timer;
 use crate::io::{Bytes, ConnectionId, Effect, ExpectedInput};
 use crate::protocol::frames::{self, FrameKind};
-use crate::router::connection::node::InFlight;
 use crate::router::connection::outgoing_queue::{HealthCheckKind, OutgoingFrame};
+use crate::router::connection::response_tracker::InFlight;
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use crate::router::rules::{self, CheckedAction};
@@ -72,7 +72,7 @@
     let connection = context.connections.node_mut(id);
     let end_offset = connection.add_submitted(head.len() + length);
     if let OutgoingFrame::Batch(attempts) = frame {
-        connection.add_in_flight(attempts.into_iter().map(|attempt| {
+        connection.responses.add_in_flight(attempts.into_iter().map(|attempt| {
             let id = queries.shard_request(attempt.shard_request).id.clone();
             InFlight { id, attempt, end_offset }
         }));
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -1,7 +1,7 @@
 //! The queries in progress with their shard requests and attempts, and the body of the response to a client.
 
 use crate::io::{Bytes, ConnectionId};
-use crate::router::connection::node::UnconfirmedResponse;
+use crate::router::connection::response_tracker::UnconfirmedResponse;
 use crate::router::context::Context;
 use crate::router::rules::{self, CheckedAction};
 use crate::router::timers::Timer;
--- a/crates/query-router/src/router/rules.rs
+++ b/crates/query-router/src/router/rules.rs
@@ -81,7 +81,7 @@
     if endpoint.address != Some(connection.address) {
         return Err(Violation::AddressChanged);
     }
-    if connection.may_receive_response_to(&request.id) {
+    if connection.responses.may_receive_response_to(&request.id) {
         return Err(Violation::SameRequestInFlight);
     }
     Ok(())
