Unread bytes that keep a batch from a connection may withdraw its last response

What callers would see: a value that is served cut off although its rest had arrived.

Cause: where no response is due, unread bytes end a connection before a batch is written on it. They were not looked at, so the rest of a value that arrived after the connection was last polled was lost, while its query still waited for other shards.

Change: the bytes are read once and reported by `Event::ReceivedUnexpected`. They are not parsed, since the batch counts as in flight although no byte of it is written.

--- a/crates/query-router/src/event_loop/effects.rs
+++ b/crates/query-router/src/event_loop/effects.rs
@@ -3,7 +3,7 @@
 use super::pending_event::PendingEvent;
 use super::retries::Retry;
 use super::server::{ExitState, Server, print_to_stderr};
-use super::socket::{ConnectState, Socket, Unread, WriteOutcome, start_connecting};
+use super::socket::{ConnectState, ReadOutcome, Socket, Unread, WriteOutcome, start_connecting};
 use super::system_error;
 
 use crate::io::{Bytes, ConnectionId, Effect, Event, ExpectedInput};
@@ -36,6 +36,10 @@
                         self.router.step(now, Event::Received { connection, bytes: socket.input() });
                     }
                 }
+                Some(PendingEvent::UnexpectedInput(connection)) => {
+                    self.report_unexpected(connection);
+                    self.close_and_report(connection);
+                }
                 Some(PendingEvent::ConnectDelayed(connection)) => {
                     self.router.step(now, Event::ConnectDelayed(connection));
                 }
@@ -147,15 +151,27 @@
         }
     }
 
-    /// Writes buffers, or closes the connection if the peer has closed it or sent unexpected bytes.
+    /// Writes buffers, or closes the connection if the peer has closed it or sent unexpected bytes. These are reported
+    /// first, since they may show that the last response is cut off.
     fn write_if_open(&mut self, connection: ConnectionId, buffers: Vec<Bytes>, expected: ExpectedInput) {
         match self.unread(connection) {
             Some(Unread::End) => self.close_and_report(connection),
-            Some(Unread::Bytes) if expected == ExpectedInput::Nothing => self.close_and_report(connection),
+            Some(Unread::Bytes) if expected == ExpectedInput::Nothing => {
+                self.pending_events.push_back(PendingEvent::UnexpectedInput(connection));
+            }
             _ => self.write(connection, buffers),
         }
     }
 
+    /// Reads once from a connection, and reports the bytes to the router as unexpected.
+    fn report_unexpected(&mut self, connection: ConnectionId) {
+        let Some(Some(socket)) = self.sockets.get_mut(connection.0) else { return };
+        if socket.read(&mut self.read_buffer) == ReadOutcome::Received {
+            self.router
+                .step(self.clock.now(), Event::ReceivedUnexpected { connection, bytes: socket.input() });
+        }
+    }
+
     /// Writes the queued output of a connection until the send buffer of the socket is full.
     pub(super) fn write_queued(&mut self, connection: ConnectionId) {
         let Some(socket) = self.socket_mut(connection) else { return };
--- a/crates/query-router/src/event_loop/pending_event.rs
+++ b/crates/query-router/src/event_loop/pending_event.rs
@@ -8,6 +8,8 @@
 pub(super) enum PendingEvent {
     /// The unconsumed bytes are to be reported again.
     RedeliverInput(ConnectionId),
+    /// Unread bytes, which were not expected, are to be reported before the connection is closed.
+    UnexpectedInput(ConnectionId),
     /// A local shortage delays opening the connection.
     ConnectDelayed(ConnectionId),
     /// All queued output is written.
@@ -26,6 +28,7 @@
     pub(super) fn connection(&self) -> ConnectionId {
         match self {
             PendingEvent::RedeliverInput(connection)
+            | PendingEvent::UnexpectedInput(connection)
             | PendingEvent::ConnectDelayed(connection)
             | PendingEvent::Flushed(connection)
             | PendingEvent::Ended { connection, .. } => *connection,
--- a/crates/query-router/src/event_loop/tests.rs
+++ b/crates/query-router/src/event_loop/tests.rs
@@ -121,8 +121,16 @@
     unread
 }
 
+/// Formats a query for one shard.
 fn query(id: &str) -> String {
-    let body = r#"{"segments":[{"segment":0,"boost":1}],"text":"q"}"#;
+    query_for_shards(id, 1)
+}
+
+/// Formats a query for this number of shards.
+fn query_for_shards(id: &str, shards: usize) -> String {
+    let segment = |shard: usize| format!(r#"{{"segment":{shard},"boost":{}}}"#, 1.0 / shards as f64);
+    let segments: Vec<String> = (0..shards).map(segment).collect();
+    let body = format!(r#"{{"segments":[{}],"text":"q"}}"#, segments.join(","));
     let length = body.len();
     format!(
         "POST /api HTTP/1.1\r\nX-Qos: pay\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 20000\r\nContent-Length: {length}\r\n\r\n{body}"
@@ -223,3 +231,46 @@
     assert_eq!(router.read_response(&mut client), "HTTP/1.1 502 Bad Gateway");
     assert_eq!(router.server.router.counters().responses_withdrawn, 1);
 }
+
+/// Guards against a value that is served cut off because the connection is closed before its rest is read.
+#[test]
+fn unread_bytes_that_keep_a_batch_from_a_connection_are_read_before_it_is_closed() {
+    let mut router = TestRouter::new();
+    let mut client = router.connect();
+    // Eight shard requests make two batches on two connections. The first batch is answered, the second is not.
+    client.write_all(query_for_shards("t1", 8).as_bytes()).expect("writing to the router");
+    let mut answering = router.accept_at_node();
+    let batch = router.read_frame(&mut answering);
+    let mut waiting = router.accept_at_node();
+    router.read_frame(&mut waiting);
+    // A batch is a line for each shard request, followed by the text `q`.
+    let lines = batch.split('\n').map(|line| line.trim_start_matches('q'));
+    let ids: Vec<&str> =
+        lines.filter_map(|line| line.split(' ').next().filter(|id| !id.is_empty())).collect();
+    assert_eq!(ids.len(), 4, "{batch}");
+    let responses: Vec<u8> =
+        ids.iter().flat_map(|id| frame(b'Y', &format!("{id} OK 5 -\n5be2a07c"))).collect();
+    answering.write_all(&responses).expect("writing to the router");
+    router.run_until("the router does not read the responses", |router| {
+        router.server.router.counters().attempts_succeeded == 4
+    });
+    // The rest of the last value, and a query for the same connection, arrive after the loop has last polled.
+    let mut second_client = router.connect();
+    router.run_until("the router does not accept the client", |router| {
+        router.server.router.counters().client_connections_arrived == 2
+    });
+    let client_connection = router.connection_to(second_client.local_addr().expect("an address"));
+    answering.write_all(b"19f04d63").expect("writing to the router");
+    second_client.write_all(query("t2").as_bytes()).expect("writing to the router");
+    let unread_connections = |router: &TestRouter| {
+        let ids = (0..router.server.sockets.len()).map(ConnectionId);
+        ids.filter(|&id| router.has_unread_input(id)).count()
+    };
+    while unread_connections(&router) < 2 {
+        std::thread::yield_now();
+    }
+    router.server.read_in_next_iteration(client_connection);
+    router.server.run_iteration();
+    assert_eq!(router.server.router.counters().responses_withdrawn, 1);
+    assert_eq!(router.read_response(&mut client), "HTTP/1.1 502 Bad Gateway");
+}
--- a/crates/query-router/src/io.rs
+++ b/crates/query-router/src/io.rs
@@ -30,6 +30,13 @@
         /// All received bytes that are not consumed yet, those reported before included.
         bytes: &'a [u8],
     },
+    /// Bytes were found in place of [`ExpectedInput::Nothing`]. Nothing is written, and [`Event::Ended`] follows.
+    ReceivedUnexpected {
+        /// The connection on which bytes arrived.
+        connection: ConnectionId,
+        /// All received bytes that are not consumed yet.
+        bytes: &'a [u8],
+    },
     /// Reading from a connection paused although more bytes may be available; it continues in the next iteration, before
     /// the router decides.
     ReadPaused(ConnectionId),
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -97,6 +97,7 @@
             Event::ConnectDelayed(id) => node_connections::connect_delayed(&mut self.state.context, id),
             Event::Established(id) => self.established(id),
             Event::Received { connection: id, bytes } => self.received(id, bytes),
+            Event::ReceivedUnexpected { connection: id, bytes } => self.received_unexpected(id, bytes),
             Event::ReadPaused(id) => self.read_paused(id),
             Event::Flushed(id) => self.flushed(id),
             Event::PeerClosed(id) => self.closed_by_peer(id),
@@ -187,6 +188,13 @@
         }
     }
 
+    fn received_unexpected(&mut self, id: ConnectionId, bytes: &[u8]) {
+        let State { context, queries, .. } = &mut self.state;
+        if context.connections.kind(id) == Some(ConnectionKind::Node) {
+            node_connections::received_unexpected(context, queries, id, bytes);
+        }
+    }
+
     /// Lets the next decision wait if the rest of a read may show that a response is cut off.
     fn read_paused(&mut self, id: ConnectionId) {
         let connection = self.state.context.connections.node(id);
--- a/crates/query-router/src/router/node_connections/mod.rs
+++ b/crates/query-router/src/router/node_connections/mod.rs
@@ -6,7 +6,7 @@
 mod write;
 
 pub use lifecycle::{NodeReport, close_or_keep_idle, ended};
-pub use receive::next_report;
+pub use receive::{next_report, received_unexpected};
 pub use selection::{queue_batch, reassign_batches, select_connection};
 pub use write::write;
 
--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -63,6 +63,14 @@
     }
 }
 
+/// Handles bytes that were found when a batch was to be written and no response was expected. They are not parsed, since
+/// the batch counts as in flight although it is not written; they only show whether the last response is cut off.
+pub fn received_unexpected(context: &mut Context, queries: &mut QueryTable, id: ConnectionId, bytes: &[u8]) {
+    if let Some(response) = context.connections.node_mut(id).responses.confirm_last_response(bytes) {
+        withdraw_response(context, queries, id, &response, bytes);
+    }
+}
+
 /// Closes a connection on which text has arrived after a response that was used. If the query has not ended, the response
 /// is withdrawn, as if it had arrived together with the text.
 fn withdraw_response(
