Loopback test of responses whose length is too small, with a real router process

A node cuts its response off by 1, 8 and all 16 bytes of its value: the query of a class that may not be executed twice fails, that of an idempotent class is retried and served with the whole value.

--- a/crates/cli/tests/loopback/serving.rs
+++ b/crates/cli/tests/loopback/serving.rs
@@ -1,6 +1,6 @@
 //! Tests of complete queries, from the first request to the exit of the router.
 
-use crate::rig::{Client, DataNode, RouterProcess, frame, query, start_with_node};
+use crate::rig::{Client, DataNode, LONG_DEADLINE, RouterProcess, frame, query, start_with_node};
 use rustix::process::Signal;
 use serde_json::{Value as Json, json};
 use std::time::Duration;
@@ -132,3 +132,35 @@
     connection.send(&frame(b'Y', "t2.0 OK 5 -\ntwo"));
     assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
 }
+
+/// Guards against a value that is served cut off because the length of its frame is too small.
+#[test]
+fn response_whose_length_is_too_small_is_retried_or_fails_its_query() {
+    const VALUE: &str = "5be2a07c19f04d63";
+    let node = DataNode::new();
+    let (router, _discovery) = start_with_node("cut-off", node.address, LONG_DEADLINE);
+    for (class, id, missing, status) in [
+        ("pay", "t1", 1, "HTTP/1.1 502 Bad Gateway"),
+        ("pay", "t2", 8, "HTTP/1.1 502 Bad Gateway"),
+        ("pay", "t3", 16, "HTTP/1.1 502 Bad Gateway"),
+        ("look", "t4", 8, "HTTP/1.1 200 OK"),
+    ] {
+        let mut client = router.connect();
+        client.send_query(class, id, LONG_DEADLINE);
+        let mut connection = node.accept();
+        connection.read_frame();
+        let mut bytes = frame(b'Y', &format!("{id}.0 OK 5 -\n{VALUE}"));
+        bytes[3] -= missing;
+        connection.send(&bytes);
+        if class == "look" {
+            let mut second = node.accept();
+            second.read_frame();
+            second.send(&frame(b'Y', &format!("{id}.0 OK 5 -\n{VALUE}")));
+        }
+        let (first_line, body) = client.read_response();
+        assert_eq!(first_line, status, "{id}");
+        assert_eq!(body.contains(&format!("\"{VALUE}\"")), class == "look", "{body}");
+    }
+    let log = router.terminate();
+    assert!(log.contains("responses_ambiguous 4\n") && log.contains("invariants_violated 0\n"), "{log}");
+}
