Random event sequences: nodes cut off responses, and values are checked

Nodes of the sequences send responses whose length is too small by 1 byte up to the whole value, in one piece or in two, with or without a frame behind, and no client may get another value than the nodes made.

--- a/crates/query-router/src/router/tests/event_sequences.rs
+++ b/crates/query-router/src/router/tests/event_sequences.rs
@@ -4,6 +4,9 @@
 
 use super::*;
 
+/// The value that nodes return for each shard request.
+const VALUE: &str = "5be2a07c";
+
 /// The simulated peer of a connection.
 #[derive(Default)]
 struct RemoteEnd {
@@ -67,6 +70,7 @@
             Effect::Write { connection: id, buffers }
             | Effect::WriteIfOpen { connection: id, buffers, .. } => {
                 let bytes: Vec<u8> = buffers.iter().flat_map(|buffer| buffer.to_vec()).collect();
+                assert_values_are_complete(&bytes);
                 let is_slow = self.rng.u8(0..8) == 0;
                 if let Some(end) = self.remote_ends.get_mut(&id) {
                     assert!(end.established, "bytes written on a connection that is not established");
@@ -108,6 +112,14 @@
     ids
 }
 
+/// Asserts that bytes for a client contain no value other than [`VALUE`].
+fn assert_values_are_complete(bytes: &[u8]) {
+    let text = String::from_utf8_lossy(bytes);
+    for value in text.split("\"payload\":").skip(1) {
+        assert!(value.starts_with(&format!("\"{VALUE}\"")), "a client gets {text}");
+    }
+}
+
 /// Asserts that the query of a shard request has not ended.
 fn assert_in_progress(router: &Router, request_id: &str) {
     let queries = &router.state.queries;
@@ -253,12 +265,32 @@
             (None, _) => return,
             (Some(request_id), 3..=5) => frame(b'Y', &format!("{request_id} ERROR 5 -\n")),
             (Some(request_id), 6..=8) => frame(b'Y', &format!("{request_id} REJECTED 5 -\n")),
-            (Some(request_id), 9) => frame(b'Y', &format!("{request_id} OK 5 -\nv")).repeat(2),
-            (Some(request_id), _) => frame(b'Y', &format!("{request_id} OK 5 -\nv")),
+            (Some(request_id), 9) => frame(b'Y', &format!("{request_id} OK 5 -\n{VALUE}")).repeat(2),
+            (Some(request_id), 10..=11) => return self.send_cut_off_response(id, &request_id),
+            (Some(request_id), _) => frame(b'Y', &format!("{request_id} OK 5 -\n{VALUE}")),
         };
         self.send(id, &bytes);
     }
 
+    /// A node sends a response whose length is too small, in one piece or in two, and in some cases a frame after it.
+    fn send_cut_off_response(&mut self, id: ConnectionId, request_id: &str) {
+        let payload = format!("{request_id} OK 5 -\n{VALUE}");
+        let missing = self.peers.rng.usize(1..=VALUE.len());
+        let mut bytes = frame(b'Y', &payload);
+        let stated_end = bytes.len() - missing;
+        bytes[..4].copy_from_slice(&((payload.len() + 1 - missing) as u32).to_be_bytes());
+        if self.peers.rng.bool() {
+            bytes.extend(frame(b'Y', &payload));
+        }
+        let split = if self.peers.rng.bool() { stated_end } else { self.peers.rng.usize(0..bytes.len()) };
+        for piece in [&bytes[..split], &bytes[split..]] {
+            let Some(end) = self.peers.remote_ends.get_mut(&id) else { return };
+            end.unconsumed.extend(piece);
+            let unconsumed = end.unconsumed.clone();
+            self.receive(id, &unconsumed);
+        }
+    }
+
     /// Discovery sends an update, a blank line, or a truncated object.
     fn discovery_sends(&mut self, id: ConnectionId) {
         self.peers.revision += self.peers.rng.u64(0..3);
