--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -6,8 +6,8 @@
     ServiceClass, ShardMap, ShardRequest, SlidingWindow,
 };
 use crate::{
-    Actions, AttemptEnd, ClassSettings, Endpoint, EndpointUpdate, Events, LoadReport, Micros, NodeId,
-    QueryArrival, QueryId, Settings, ShardRequestArrival, WithdrawnResponse,
+    Actions, AttemptEnd, ClassSettings, Endpoint, EndpointUpdate, Events, InvalidatedResponse, LoadReport,
+    Micros, NodeId, QueryArrival, QueryId, Settings, ShardRequestArrival,
 };
 
 /// Load balancer and admission control of one router, based on its settings and the events that it receives.
@@ -121,9 +121,9 @@
         self.queries.attempt_ended(id, end.node, end.outcome);
     }
 
-    fn response_withdrawn(&mut self, now: Micros, withdrawn: &WithdrawnResponse) {
-        self.observe_withdrawal(now, withdrawn);
-        self.queries[withdrawn.attempt.shard_request].response_withdrawn(withdrawn);
+    fn response_invalidated(&mut self, now: Micros, invalidated: &InvalidatedResponse) {
+        self.observe_invalidation(now, invalidated);
+        self.queries[invalidated.attempt.shard_request].response_invalidated(invalidated);
     }
 
     fn load_reported(&mut self, now: Micros, node: NodeId, report: &LoadReport) {
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -132,9 +132,9 @@
     pub load: &'a [LoadMetric<'a>],
 }
 
-/// Withdrawal of a response, which makes the attempt one whose response could not be parsed.
+/// Invalidation of a response, which makes the attempt one whose response could not be parsed.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct WithdrawnResponse {
+pub struct InvalidatedResponse {
     /// Identifier of the attempt.
     pub attempt: AttemptId,
     /// Node that the attempt was sent to.
@@ -191,7 +191,7 @@
     /// An attempt has ended.
     fn attempt_ended(&mut self, now: Micros, end: &AttemptEnd);
     /// The response to an attempt that has ended turned out to be malformed. Its query has not ended.
-    fn response_withdrawn(&mut self, _now: Micros, _withdrawn: &WithdrawnResponse) {}
+    fn response_invalidated(&mut self, _now: Micros, _invalidated: &InvalidatedResponse) {}
     /// Other proxies have reported the results of their requests to a node.
     fn load_reported(&mut self, _now: Micros, _node: NodeId, _report: &LoadReport) {}
     /// The client of a query has disconnected.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -82,8 +82,8 @@
 pub use actions::{Actions, Completion, EndpointHealth};
 pub use balancer::Balancer;
 pub use events::{
-    AttemptEnd, AttemptOutcome, Endpoint, EndpointState, EndpointUpdate, Events, HealthCheckEnd, LoadMetric,
-    LoadReport, QueryArrival, ShardRequestArrival, WithdrawnResponse,
+    AttemptEnd, AttemptOutcome, Endpoint, EndpointState, EndpointUpdate, Events, HealthCheckEnd,
+    InvalidatedResponse, LoadMetric, LoadReport, QueryArrival, ShardRequestArrival,
 };
 pub use ids::{AttemptId, AttemptNumber, NodeId, QueryId, ShardRequestId};
 pub use settings::{
--- a/crates/balancer/src/policy/health.rs
+++ b/crates/balancer/src/policy/health.rs
@@ -23,9 +23,9 @@
         }
     }
 
-    /// Records that the response to an attempt was withdrawn: its node counts as after a malformed response.
-    pub(crate) fn observe_withdrawal(&mut self, now: Micros, withdrawn: &WithdrawnResponse) {
-        let &WithdrawnResponse { attempt, node, sent_at, .. } = withdrawn;
+    /// Records that the response to an attempt was invalidated: its node counts as after a malformed response.
+    pub(crate) fn observe_invalidation(&mut self, now: Micros, invalidated: &InvalidatedResponse) {
+        let &InvalidatedResponse { attempt, node, sent_at, .. } = invalidated;
         let class = self.queries.query_of(attempt.shard_request).class;
         let outcome = AttemptOutcome::MalformedResponse;
         self.record_observation(now, Observation { node, class, outcome, latency: now - sent_at });
--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -18,8 +18,8 @@
     Preference, Progress, Query, Repeat, SamplesRetained, SlowStart, WarmUpReason,
 };
 use crate::{
-    Actions, AttemptEnd, AttemptOutcome, Balancer, Completion, EndpointHealth, Idempotency, LoadReport,
-    Micros, NodeId, QueryArrival, QueryId, ShardRequestId, WithdrawnResponse,
+    Actions, AttemptEnd, AttemptOutcome, Balancer, Completion, EndpointHealth, Idempotency,
+    InvalidatedResponse, LoadReport, Micros, NodeId, QueryArrival, QueryId, ShardRequestId,
 };
 use std::cmp::Reverse;
 
--- a/crates/balancer/src/policy/tests/retries.rs
+++ b/crates/balancer/src/policy/tests/retries.rs
@@ -104,23 +104,23 @@
     assert_eq!(decide(&mut balancer, NOW + 5).last().map(String::as_str), Some("0 Rejected(0)"));
 }
 
-/// Reports the end of the first attempt with `outcome` and the withdrawal of its response, and returns the actions of
+/// Reports the end of the first attempt with `outcome` and the invalidation of its response, and returns the actions of
 /// the next decision.
-fn after_withdrawal(idempotency: Idempotency, outcome: AttemptOutcome) -> Vec<String> {
+fn after_invalidation(idempotency: Idempotency, outcome: AttemptOutcome) -> Vec<String> {
     let mut balancer = balancer(idempotency);
     arrive(&mut balancer, 10, 1);
     assert_eq!(decide(&mut balancer, NOW), ["send 11 0"]);
     end_attempt(&mut balancer, NOW + 5, attempt(11, 0), NodeId(0), outcome, 5);
-    let withdrawn = WithdrawnResponse { attempt: attempt(11, 0), node: NodeId(0), outcome, sent_at: NOW };
-    balancer.response_withdrawn(NOW + 6, &withdrawn);
+    let invalidated = InvalidatedResponse { attempt: attempt(11, 0), node: NodeId(0), outcome, sent_at: NOW };
+    balancer.response_invalidated(NOW + 6, &invalidated);
     decide(&mut balancer, NOW + 6)
 }
 
 /// Guards against an answer, or a retry, that rests on a response which proved to be malformed.
 #[test]
-fn a_withdrawn_response_counts_as_an_attempt_that_may_have_been_executed() {
+fn an_invalidated_response_counts_as_an_attempt_that_may_have_been_executed() {
     for outcome in [AttemptOutcome::Succeeded, AttemptOutcome::Rejected] {
-        assert_eq!(after_withdrawal(Idempotency::NonIdempotent, outcome), ["10 Failed"], "{outcome:?}");
-        assert_eq!(after_withdrawal(Idempotency::Idempotent, outcome), ["send 11 1"], "{outcome:?}");
+        assert_eq!(after_invalidation(Idempotency::NonIdempotent, outcome), ["10 Failed"], "{outcome:?}");
+        assert_eq!(after_invalidation(Idempotency::Idempotent, outcome), ["send 11 1"], "{outcome:?}");
     }
 }
--- a/crates/balancer/src/state/shard_request.rs
+++ b/crates/balancer/src/state/shard_request.rs
@@ -1,6 +1,8 @@
 //! State of a query's request to one shard.
 
-use crate::{AttemptNumber, AttemptOutcome, Micros, NodeId, QueryId, ShardRequestArrival, WithdrawnResponse};
+use crate::{
+    AttemptNumber, AttemptOutcome, InvalidatedResponse, Micros, NodeId, QueryId, ShardRequestArrival,
+};
 
 /// Status of a shard request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,14 +122,14 @@
         }
     }
 
-    /// Records that the response to an attempt that has ended is withdrawn: it neither answered the shard request nor
+    /// Records that the response to an attempt that has ended is invalidated: it neither answered the shard request nor
     /// proved that the attempt was not executed.
-    pub fn response_withdrawn(&mut self, withdrawn: &WithdrawnResponse) {
-        if withdrawn.outcome == AttemptOutcome::Succeeded && self.is_answered() {
+    pub fn response_invalidated(&mut self, invalidated: &InvalidatedResponse) {
+        if invalidated.outcome == AttemptOutcome::Succeeded && self.is_answered() {
             self.status = ShardRequestStatus::Pending;
         }
-        self.proven_not_executed -= withdrawn.outcome.proves_not_executed() as usize;
-        let since = self.may_have_executed_since.unwrap_or(withdrawn.sent_at);
-        self.may_have_executed_since = Some(since.min(withdrawn.sent_at));
+        self.proven_not_executed -= invalidated.outcome.proves_not_executed() as usize;
+        let since = self.may_have_executed_since.unwrap_or(invalidated.sent_at);
+        self.may_have_executed_since = Some(since.min(invalidated.sent_at));
     }
 }
--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -84,8 +84,8 @@
     responses_late,
     /// Responses that were not used because the bytes after them may belong to their value.
     responses_ambiguous,
-    /// Responses that were withdrawn before their query ended, because bytes received later may belong to their value.
-    responses_withdrawn,
+    /// Responses that were invalidated before their query ended, because bytes received later may belong to their value.
+    responses_invalidated,
     /// Responses after whose use bytes were received that may belong to their value: their query had ended, or another
     /// attempt had returned the value.
     responses_ambiguous_after_use,
--- a/crates/query-router/src/event_loop/tests.rs
+++ b/crates/query-router/src/event_loop/tests.rs
@@ -229,7 +229,7 @@
     router.server.read_buffer = vec![0; response.len() / reads];
     node_connection.write_all(&[&response[..], b"c19f04d63"].concat()).expect("writing to the router");
     assert_eq!(router.read_response(&mut client), "HTTP/1.1 502 Bad Gateway");
-    assert_eq!(router.server.router.counters().responses_withdrawn, 1);
+    assert_eq!(router.server.router.counters().responses_invalidated, 1);
 }
 
 /// Guards against a value that is served cut off because the connection is closed before its rest is read.
@@ -271,6 +271,6 @@
     }
     router.server.read_in_next_iteration(client_connection);
     router.server.run_iteration();
-    assert_eq!(router.server.router.counters().responses_withdrawn, 1);
+    assert_eq!(router.server.router.counters().responses_invalidated, 1);
     assert_eq!(router.read_response(&mut client), "HTTP/1.1 502 Bad Gateway");
 }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -124,8 +124,8 @@
         for finished in self.state.queries.take_pending_outcomes() {
             self.report_attempt(&finished, &[]);
         }
-        for withdrawn in self.state.queries.take_pending_withdrawals() {
-            self.report_withdrawal(&withdrawn);
+        for invalidated in self.state.queries.take_pending_invalidations() {
+            self.report_invalidation(&invalidated);
         }
         // Deciding after each event made the balancer send several times as many hedged attempts, which overloaded
         // nodes with just enough capacity.
--- a/crates/query-router/src/router/node_connections/receive.rs
+++ b/crates/query-router/src/router/node_connections/receive.rs
@@ -32,7 +32,7 @@
     loop {
         let rest = &bytes[*offset..];
         if let Some(response) = context.connections.node_mut(id).responses.confirm_last_response(rest) {
-            withdraw_response(context, queries, id, &response, rest);
+            invalidate_response(context, queries, id, &response, rest);
             return None;
         }
         let received = match frames::parse(rest) {
@@ -67,18 +67,18 @@
 /// the batch counts as in flight although it is not written; they only show whether the last response is cut off.
 pub fn received_unexpected(context: &mut Context, queries: &mut QueryTable, id: ConnectionId, bytes: &[u8]) {
     if let Some(response) = context.connections.node_mut(id).responses.confirm_last_response(bytes) {
-        withdraw_response(context, queries, id, &response, bytes);
+        invalidate_response(context, queries, id, &response, bytes);
     }
 }
 
 /// Closes a connection on which text has arrived after a response that was used. If the query has not ended, the response
-/// is withdrawn, as if it had arrived together with the text.
-fn withdraw_response(
+/// is invalidated, as if it had arrived together with the text.
+fn invalidate_response(
     context: &mut Context, queries: &mut QueryTable, id: ConnectionId, response: &UnconfirmedResponse,
     following: &[u8],
 ) {
-    if queries.withdraw_response(context, response) {
-        context.counters.responses_withdrawn += 1;
+    if queries.invalidate_response(context, response) {
+        context.counters.responses_invalidated += 1;
         close_malformed(context, id, Some(response.attempt));
     } else {
         context.counters.responses_ambiguous_after_use += 1;
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -6,8 +6,8 @@
 use crate::router::rules::{self, CheckedAction};
 use crate::router::timers::Timer;
 use balancer::{
-    AttemptId, AttemptNumber, AttemptOutcome, Completion, Idempotency, Micros, NodeId, QueryId,
-    ShardRequestId, WithdrawnResponse,
+    AttemptId, AttemptNumber, AttemptOutcome, Completion, Idempotency, InvalidatedResponse, Micros, NodeId,
+    QueryId, ShardRequestId,
 };
 use serde_json::{Value as Json, json};
 use slab::Slab;
@@ -114,8 +114,8 @@
     open_count: usize,
     /// Outcomes that have not been reported to the balancer, in order.
     pending_outcomes: Vec<FinishedAttempt>,
-    /// Withdrawals that have not been reported to the balancer, in order.
-    pending_withdrawals: Vec<WithdrawnResponse>,
+    /// Invalidations that have not been reported to the balancer, in order.
+    pending_invalidations: Vec<InvalidatedResponse>,
 }
 
 impl QueryTable {
@@ -238,9 +238,9 @@
         }
     }
 
-    /// Withdraws a response that returned the value or a rejection, and reports that to the balancer before its next
+    /// Invalidates a response that returned the value or a rejection, and reports that to the balancer before its next
     /// decision. Returns false, without a change, if the query has ended or the response is not in use.
-    pub fn withdraw_response(&mut self, context: &mut Context, response: &UnconfirmedResponse) -> bool {
+    pub fn invalidate_response(&mut self, context: &mut Context, response: &UnconfirmedResponse) -> bool {
         let attempt = response.attempt;
         let Some(entry) = self.shard_requests.get_mut(attempt.shard_request.0) else { return false };
         // The index may belong to a later shard request.
@@ -261,7 +261,7 @@
         state.outcome = Some(AttemptOutcome::MalformedResponse);
         count_outcome(context, AttemptOutcome::MalformedResponse);
         let sent_at = state.requested_at;
-        self.pending_withdrawals.push(WithdrawnResponse { attempt, node: state.node, outcome, sent_at });
+        self.pending_invalidations.push(InvalidatedResponse { attempt, node: state.node, outcome, sent_at });
         true
     }
 
@@ -289,14 +289,14 @@
         self.pending_outcomes.extend(finished);
     }
 
-    /// Returns whether there are outcomes or withdrawals that have not been reported to the balancer.
+    /// Returns whether there are outcomes or invalidations that have not been reported to the balancer.
     pub fn has_pending_outcomes(&self) -> bool {
-        !self.pending_outcomes.is_empty() || !self.pending_withdrawals.is_empty()
+        !self.pending_outcomes.is_empty() || !self.pending_invalidations.is_empty()
     }
 
-    /// Removes and returns the withdrawals that have not been reported to the balancer.
-    pub fn take_pending_withdrawals(&mut self) -> Vec<WithdrawnResponse> {
-        std::mem::take(&mut self.pending_withdrawals)
+    /// Removes and returns the invalidations that have not been reported to the balancer.
+    pub fn take_pending_invalidations(&mut self) -> Vec<InvalidatedResponse> {
+        std::mem::take(&mut self.pending_invalidations)
     }
 
     /// Removes and returns the outcomes that have not been reported to the balancer.
--- a/crates/query-router/src/router/reports.rs
+++ b/crates/query-router/src/router/reports.rs
@@ -8,8 +8,8 @@
 use crate::router::query_table::FinishedAttempt;
 use crate::router::state::State;
 use balancer::{
-    AttemptEnd, Endpoint, EndpointUpdate, Events, HealthCheckEnd, LoadMetric, NodeId, ShardRequestArrival,
-    WithdrawnResponse,
+    AttemptEnd, Endpoint, EndpointUpdate, Events, HealthCheckEnd, InvalidatedResponse, LoadMetric, NodeId,
+    ShardRequestArrival,
 };
 
 impl Router {
@@ -63,9 +63,9 @@
         self.decision_needed = true;
     }
 
-    /// Reports the withdrawal of a response to the balancer.
-    pub(super) fn report_withdrawal(&mut self, withdrawn: &WithdrawnResponse) {
-        self.balancer.response_withdrawn(self.state.context.now, withdrawn);
+    /// Reports the invalidation of a response to the balancer.
+    pub(super) fn report_invalidation(&mut self, invalidated: &InvalidatedResponse) {
+        self.balancer.response_invalidated(self.state.context.now, invalidated);
         self.decision_needed = true;
     }
 
--- a/crates/query-router/src/router/tests/response_ends.rs
+++ b/crates/query-router/src/router/tests/response_ends.rs
@@ -161,16 +161,16 @@
 
 /// Guards against a value that is served cut off although its rest arrived, by a later read, before the answer.
 #[test]
-fn a_response_whose_rest_arrives_by_a_later_read_is_withdrawn() {
+fn a_response_whose_rest_arrives_by_a_later_read_is_invalidated() {
     let (rig, client, connection) = rig_after_rest_of_value("pay");
     assert!(rig.written(client).starts_with("HTTP/1.1 502"), "{}", rig.written(client));
     assert!(rig.peers.closed.contains(&connection));
-    assert_eq!(rig.router.counters().responses_withdrawn, 1);
+    assert_eq!(rig.router.counters().responses_invalidated, 1);
 }
 
-/// Guards against a value of a withdrawn response that remains in the answer, or keeps the shard from another attempt.
+/// Guards against a value of an invalidated response that remains in the answer, or keeps the shard from another attempt.
 #[test]
-fn a_withdrawn_response_is_replaced_by_another_attempt() {
+fn an_invalidated_response_is_replaced_by_another_attempt() {
     let (mut rig, client, first) = rig_after_rest_of_value("look");
     assert_eq!((rig.written(client), rig.router.counters().attempts_retried), (String::new(), 2));
     assert!(rig.peers.closed.contains(&first));
@@ -183,21 +183,21 @@
 
 /// Guards against a retry of an attempt that may have been executed, after a rejection whose frame proves to be broken.
 #[test]
-fn a_withdrawn_rejection_does_not_prove_that_the_attempt_was_not_executed() {
+fn an_invalidated_rejection_does_not_prove_that_the_attempt_was_not_executed() {
     for following in [&b"5"[..], b"\0", b"\r\n"] {
         let (mut rig, client, connection) = rig_awaiting_response("pay");
         rig.respond(connection, "t1.1 REJECTED 0 -", "");
         rig.receive(connection, following);
         rig.decide();
-        let is_withdrawn = following == b"5";
+        let is_invalidated = following == b"5";
         let counters = rig.router.counters();
-        let counts = (counters.responses_withdrawn, counters.attempts_retried);
-        assert_eq!(counts, if is_withdrawn { (1, 0) } else { (0, 1) }, "{following:?}");
-        assert_eq!(rig.written(client).starts_with("HTTP/1.1 502"), is_withdrawn, "{following:?}");
+        let counts = (counters.responses_invalidated, counters.attempts_retried);
+        assert_eq!(counts, if is_invalidated { (1, 0) } else { (0, 1) }, "{following:?}");
+        assert_eq!(rig.written(client).starts_with("HTTP/1.1 502"), is_invalidated, "{following:?}");
     }
 }
 
-/// Guards against a withdrawal that ends, or changes, a later query: after the answer it is only counted.
+/// Guards against an invalidation that ends, or changes, a later query: after the answer it is only counted.
 #[test]
 fn text_that_arrives_after_the_answer_is_counted_and_closes_the_connection() {
     for following in ["5", "noise"] {
@@ -209,14 +209,14 @@
         rig.receive(connection, following.as_bytes());
         rig.decide();
         let counters = rig.router.counters();
-        assert_eq!((counters.responses_withdrawn, counters.responses_ambiguous_after_use), (0, 1));
+        assert_eq!((counters.responses_invalidated, counters.responses_ambiguous_after_use), (0, 1));
         assert!(rig.peers.closed.contains(&connection));
     }
 }
 
 /// Guards against a long value that is served cut off although a read ends exactly where its frame does.
 #[test]
-fn a_long_response_that_is_read_up_to_its_stated_end_is_withdrawn() {
+fn a_long_response_that_is_read_up_to_its_stated_end_is_invalidated() {
     let payload = format!("t1.1 OK 5 -\n{}", VALUE.repeat(2_500));
     for missing in [1, 8, 40_000] {
         let bytes = frame_with_short_length(&payload, missing);
