--- a/review/standins-2/case_drain.rs
+++ b/review/standins-2/case_drain.rs
@@ -1,5 +1,6 @@
-//! Clients that stop in the middle of a request and stay hold all descriptors of a router. Its watch of discovery ends,
-//! and a data node begins to drain some seconds later. The router must open a watch anew and stop sending to that node.
+//! Clients that stop in the middle of a request and stay hold all descriptors of a router. Its watch of discovery ends, and
+//! some seconds later data nodes are withdrawn: they drain, and are gone 1 s later, though they still answer. The router must
+//! open a watch anew and stop sending to them.
 mod standins;
 
 use standins::*;
@@ -12,7 +13,7 @@
 /// Hundreds, beside a limit of 256 descriptors.
 const BAD_CLIENTS: usize = 300;
 /// A quarter of the data nodes.
-const DRAINING: usize = 3;
+const WITHDRAWN: usize = 3;
 const USUAL_CLIENTS: usize = 10;
 const EXPIRES_MS: u64 = 3000;
 const SLACK_MS: u64 = 550;
@@ -20,7 +21,16 @@
 const TOLD_MS: u64 = 6000;
 const GRACE_MS: u64 = 550;
 
-fn usual_client(number: usize, router: SocketAddr, totals: &Mutex<[usize; 3]>, stop: &AtomicBool) {
+/// What usual clients got: served, another answer, nothing; and when an answer held a value of a node to be withdrawn.
+#[derive(Default)]
+struct Totals {
+    counts: [usize; 3],
+    made_by_withdrawn: Vec<u64>,
+}
+
+fn usual_client(
+    number: usize, router: SocketAddr, nodes: &[Node], totals: &Mutex<Totals>, stop: &AtomicBool,
+) {
     sleep(100 * number as u64);
     while !stop.load(Ordering::Relaxed) {
         let id = new_id();
@@ -39,7 +49,13 @@
             Answer::Whole(..) => 1,
             _ => 2,
         };
-        totals.lock().expect("the totals")[index] += 1;
+        let mut totals = totals.lock().expect("the totals");
+        totals.counts[index] += 1;
+        if is_made_by(&answer, &nodes[..WITHDRAWN]) {
+            totals.made_by_withdrawn.push(now());
+        }
+        drop(totals);
+        record(&format!("client {number} got for {id}: {answer:?}"));
         sleep(100);
     }
 }
@@ -55,15 +71,15 @@
     let router = start_router("n1", listen, discovery.address, &config);
     sleep(1500);
     let stop = Arc::new(AtomicBool::new(false));
-    let totals = Arc::new(Mutex::new([0; 3]));
+    let totals = Arc::new(Mutex::new(Totals::default()));
     let bad = trouble().then(|| {
         let stop = stop.clone();
         thread::spawn(move || half_requests(listen, BAD_CLIENTS, "member-lookup", &stop))
     });
     let usual: Vec<_> = (0..USUAL_CLIENTS)
         .map(|number| {
-            let (totals, stop) = (totals.clone(), stop.clone());
-            thread::spawn(move || usual_client(number, listen, &totals, &stop))
+            let (nodes, totals, stop) = (nodes.clone(), totals.clone(), stop.clone());
+            thread::spawn(move || usual_client(number, listen, &nodes, &totals, &stop))
         })
         .collect();
     sleep(4000);
@@ -72,11 +88,14 @@
     }
     sleep(3000);
     let drained_at = now();
-    for node in &nodes[..DRAINING] {
+    for node in &nodes[..WITHDRAWN] {
         discovery.publish(node.member("draining"));
-        node.drains.store(true, Ordering::Relaxed);
     }
-    sleep(25_000);
+    sleep(1000);
+    for node in &nodes[..WITHDRAWN] {
+        discovery.publish(node.member("gone"));
+    }
+    sleep(24_000);
     stop.store(true, Ordering::Relaxed);
     for client in usual.into_iter().chain(bad) {
         let _ = client.join();
@@ -85,12 +104,15 @@
         finish(verdict(true, "the router has ended"));
     }
     let limit = drained_at + TOLD_MS + GRACE_MS;
-    let late: usize = nodes[..DRAINING].iter().map(|node| node.count_after(limit)).sum();
-    let [served, other, lost] = *totals.lock().expect("the totals");
+    let late: usize = nodes[..WITHDRAWN].iter().map(|node| node.count_after(limit)).sum();
+    let totals = totals.lock().expect("the totals");
+    let [served, other, lost] = totals.counts;
+    let stale = totals.made_by_withdrawn.iter().filter(|&&at| at > limit).count();
     let (watches, last) = discovery.watches();
     let line = format!(
-        "{late} parts sent to draining nodes more than {} ms after discovery had the drains; {watches} watches in all, \
-         the last {} ms after the drains; usual clients: {served} served, {other} refused or failed, {lost} without an answer",
+        "{late} parts sent to withdrawn nodes more than {} ms after discovery had their drains, {stale} answers with a value of \
+         theirs; {watches} watches in all, the last {} ms after the drains; usual clients: {served} served, {other} refused or \
+         failed, {lost} without an answer",
         TOLD_MS + GRACE_MS,
         last as i64 - drained_at as i64
     );
--- a/review/standins-2/case_restart.rs
+++ b/review/standins-2/case_restart.rs
@@ -1,13 +1,13 @@
 //! A router dies and comes back with its last list while discovery has too many callers. Lists are pushed: what the platform's
-//! agent has counts as told from the first moment of the new process. A data node that began to drain meanwhile must get
-//! nothing new after the grace.
+//! agent has counts as told from the first moment of the new process. Data nodes that were withdrawn meanwhile (they still
+//! answer) must get nothing new after the grace.
 mod standins;
 
 use standins::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 const USUAL_CLIENTS: usize = 6;
@@ -19,7 +19,12 @@
 /// How long calls to discovery fail after the start of the new process.
 const CROWDED_MS: u64 = 4000;
 
-fn usual_client(number: usize, router: SocketAddr, stop: &AtomicBool) {
+/// The data nodes that are withdrawn.
+const WITHDRAWN: usize = 2;
+
+fn usual_client(
+    number: usize, router: SocketAddr, nodes: &[Node], stale: &Mutex<Vec<u64>>, stop: &AtomicBool,
+) {
     while !stop.load(Ordering::Relaxed) {
         sleep(60);
         let Ok(mut stream) = TcpStream::connect(router) else { continue };
@@ -28,11 +33,11 @@
         if stream.write_all(&request(&id, "member-lookup", EXPIRES_MS, &shards, &format!("q{id}"))).is_err() {
             continue;
         }
-        let answer = match read_answer(&mut stream, now() + EXPIRES_MS + 550) {
-            Answer::Whole(status, _) => status.to_string(),
-            answer => format!("{answer:?}"),
-        };
-        record(&format!("client {number} got for {id}: {answer}"));
+        let answer = read_answer(&mut stream, now() + EXPIRES_MS + 550);
+        if is_made_by(&answer, &nodes[..WITHDRAWN]) {
+            stale.lock().expect("the times").push(now());
+        }
+        record(&format!("client {number} got for {id}: {answer:?}"));
     }
 }
 
@@ -46,21 +51,23 @@
     let config = config(listen, discovery.address, &members, &figures);
     let first = start_router("n1", listen, discovery.address, &config);
     let stop = Arc::new(AtomicBool::new(false));
+    let stale: Arc<Mutex<Vec<u64>>> = Arc::default();
     let usual: Vec<_> = (0..USUAL_CLIENTS)
         .map(|number| {
-            let stop = stop.clone();
-            thread::spawn(move || usual_client(number, listen, &stop))
+            let (nodes, stale, stop) = (nodes.clone(), stale.clone(), stop.clone());
+            thread::spawn(move || usual_client(number, listen, &nodes, &stale, &stop))
         })
         .collect();
     sleep(3000);
     record("the router is killed");
     first.kill();
     sleep(AWAY_MS / 2);
-    for node in &nodes[..2] {
-        discovery.publish(node.member("draining"));
-        node.drains.store(true, Ordering::Relaxed);
+    for phase in ["draining", "gone"] {
+        for node in &nodes[..WITHDRAWN] {
+            discovery.publish(node.member(phase));
+        }
+        sleep(AWAY_MS / 4);
     }
-    sleep(AWAY_MS / 2);
     if trouble() {
         discovery.crowd(CROWDED_MS);
     }
@@ -78,12 +85,15 @@
     }
     // Counted from the moment at which the new process was ready, which is later than its start.
     let limit = ready_at + GRACE_MS;
-    let late: usize = nodes[..2].iter().map(|node| node.count_after(limit)).sum();
-    let times =
-        nodes[..2].iter().filter_map(|node| node.parts.lock().expect("the parts").last().map(|(at, _)| *at));
+    let late: usize = nodes[..WITHDRAWN].iter().map(|node| node.count_after(limit)).sum();
+    let times = nodes[..WITHDRAWN]
+        .iter()
+        .filter_map(|node| node.parts.lock().expect("the parts").last().map(|(at, _)| *at));
     let last = times.max().unwrap_or(0).saturating_sub(started_at);
+    let answers = stale.lock().expect("the times").iter().filter(|&&at| at > limit).count();
     let line = format!(
-        "{late} parts sent to draining nodes more than {GRACE_MS} ms after the new process was ready ({} ms after its start); the last {last} ms after its start",
+        "{late} parts sent to withdrawn nodes more than {GRACE_MS} ms after the new process was ready ({} ms after its start), the \
+         last {last} ms after its start; {answers} answers with a value of theirs",
         ready_at - started_at
     );
     finish(verdict(late > 0, &line));
--- a/review/standins-2/control/src/main.rs
+++ b/review/standins-2/control/src/main.rs
@@ -1,5 +1,6 @@
-//! A data node begins to drain; proxies that take their endpoints from the control plane must stop sending to it. The
-//! first case writes the lists of discovery on several indented lines; in the second the watch ends instead of telling.
+//! A data node drains and is gone 4 s later, though it still answers; proxies that take their endpoints from the control plane
+//! must stop sending to it. The first case writes the lists of discovery on several indented lines; in the second the watch
+//! ends instead of telling.
 
 mod proxy;
 #[path = "../../standins.rs"]
@@ -131,7 +132,9 @@
     }
     let drained_at = now();
     discovery.publish(member(0, "draining"));
-    tokio::time::sleep(Duration::from_millis(told_ms + 9000)).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    discovery.publish(member(0, "gone"));
+    tokio::time::sleep(Duration::from_millis(told_ms + 5000)).await;
     if control.has_ended() {
         finish(verdict(true, "the control plane has ended"));
     }
@@ -145,7 +148,7 @@
     let late = times.iter().filter(|&&at| at > limit).count();
     let last = times.last().map_or(0, |at| at - drained_at);
     let line = format!(
-        "{late} new requests to the draining node more than {} ms after discovery had the drain; the last after {last} ms",
+        "{late} new requests to the withdrawn node more than {} ms after discovery had the drain; the last after {last} ms",
         told_ms + GRACE_MS
     );
     finish(verdict(late > 0, &line));
--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -35,6 +35,7 @@
     let folder = arguments.next().expect("a temporary folder");
     RECORD.set(Mutex::new(File::create(record).expect("a record"))).expect("begun once");
     FOLDER.set(PathBuf::from(folder)).expect("begun once");
+    std::panic::set_hook(Box::new(|panic| give_up(&panic.to_string())));
     thread::spawn(|| {
         sleep(115_000);
         give_up("the case took too long");
@@ -119,9 +120,11 @@
 
 /// Ends all processes that the case has started, and the case.
 pub fn finish(code: i32) -> ! {
-    for child in STARTED.lock().expect("the processes").iter_mut() {
-        let _ = child.kill();
-        let _ = child.wait();
+    if let Ok(mut started) = STARTED.lock() {
+        for child in started.iter_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
     std::process::exit(code);
 }
@@ -291,7 +294,11 @@
         record(&format!("discovery has {} {}", member.id, member.phase));
         self.modify(|state| {
             state.revision += 1;
-            state.members.insert(member.id.clone(), member.clone());
+            if member.phase == "gone" {
+                state.members.remove(&member.id);
+            } else {
+                state.members.insert(member.id.clone(), member.clone());
+            }
             state.updates.push((state.revision, vec![member]));
             if std::mem::take(&mut state.ends_instead) {
                 state.epoch += 1;
@@ -376,12 +383,10 @@
 
 // ---------------------------------------------------------------------------------------------------- data nodes
 
-/// The value that a data node makes for a part.
-pub fn value_of(text: &str, shard: &str) -> String {
-    format!(
-        "{text}-{shard}-{:08x}",
-        text.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte))
-    )
+/// The value that a data node makes for a part. It ends in `@` and the node.
+pub fn value_of(text: &str, shard: &str, node: &str) -> String {
+    let sum = text.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)));
+    format!("{text}-{shard}-{sum:08x}@{node}")
 }
 
 /// A data node: it answers each part after `work_ms`.
@@ -392,18 +397,16 @@
     pub cell: usize,
     /// When and which parts arrived.
     pub parts: Arc<Mutex<Vec<(u64, String)>>>,
-    pub drains: Arc<AtomicBool>,
 }
 
 impl Node {
     pub fn start(id: &str, cell: usize, work_ms: u64) -> Node {
         let parts: Arc<Mutex<Vec<(u64, String)>>> = Arc::default();
-        let drains: Arc<AtomicBool> = Arc::default();
-        let (seen, draining, name) = (parts.clone(), drains.clone(), id.to_string());
+        let (seen, name) = (parts.clone(), id.to_string());
         let address = listen(move |stream| {
-            let _ = serve_node(stream, &name, work_ms, &seen, &draining);
+            let _ = serve_node(stream, &name, work_ms, &seen);
         });
-        Node { id: id.to_string(), address, cell, parts, drains }
+        Node { id: id.to_string(), address, cell, parts }
     }
 
     pub fn member(&self, phase: &'static str) -> Member {
@@ -423,7 +426,7 @@
 }
 
 fn serve_node(
-    mut stream: TcpStream, name: &str, work_ms: u64, parts: &Mutex<Vec<(u64, String)>>, drains: &AtomicBool,
+    mut stream: TcpStream, name: &str, work_ms: u64, parts: &Mutex<Vec<(u64, String)>>,
 ) -> std::io::Result<()> {
     let writer = Arc::new(Mutex::new(stream.try_clone()?));
     loop {
@@ -445,20 +448,12 @@
                     let size: usize = fields[3].parse().unwrap_or(0);
                     let text = String::from_utf8_lossy(&rest[end + 1..end + 1 + size]).to_string();
                     rest = &rest[end + 1 + size..];
-                    let is_draining = drains.load(Ordering::Relaxed);
                     parts.lock().expect("the parts").push((now(), id.clone()));
-                    record(&format!(
-                        "node {name} got {id}{}",
-                        if is_draining { " while it drains" } else { "" }
-                    ));
-                    let writer = writer.clone();
-                    if is_draining {
-                        write_frame(&writer, b'Y', format!("{id} REJECTED 1 -\n").as_bytes())?;
-                        continue;
-                    }
+                    record(&format!("node {name} got {id}"));
+                    let (writer, name) = (writer.clone(), name.to_string());
                     thread::spawn(move || {
                         sleep(work_ms);
-                        let answer = format!("{id} OK 1 -\n{}", value_of(&text, &shard));
+                        let answer = format!("{id} OK 1 -\n{}", value_of(&text, &shard, &name));
                         let _ = write_frame(&writer, b'Y', answer.as_bytes());
                     });
                 }
@@ -613,6 +608,12 @@
     record(&format!("bad clients: {opened} connections, {answers} requests answered with an error"));
 }
 
+/// Whether an answer holds a value that one of these data nodes made.
+pub fn is_made_by(answer: &Answer, nodes: &[Node]) -> bool {
+    let Answer::Whole(200, body) = answer else { return false };
+    nodes.iter().any(|node| body.contains(&format!("@{}\"", node.id)))
+}
+
 /// Closes a connection.
 pub fn close(stream: &TcpStream) {
     let _ = stream.shutdown(Shutdown::Both);
