A request to discovery without a descriptor is counted and logged with the holders

Until now the log said only 'discovery unreachable', whatever the cause, so it could not tell a descriptor that is missing from a discovery that does not answer. The new line has the connections of each kind and the clients in the middle of a request; the counter is discovery_requests_without_descriptor.

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -155,6 +155,8 @@
     discovery_requests_unavailable,
     /// Polls and watches that failed because no complete message arrived in time.
     discovery_requests_timed_out,
+    /// Polls and watches that could not be started because no file descriptor was left for them.
+    discovery_requests_without_descriptor,
     /// The highest number of connections open at the same time.
     sockets_peak,
     /// Iterations of the event loop.
--- a/crates/query-router/src/router/connection/mod.rs
+++ b/crates/query-router/src/router/connection/mod.rs
@@ -56,6 +56,27 @@
     }
 }
 
+/// The number of connections of each kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Connections that clients opened.
+    pub clients: usize,
+    /// Connections to data nodes.
+    pub nodes: usize,
+    /// Requests to discovery.
+    pub discovery: usize,
+}
+
+impl ConnectionCounts {
+    fn of_mut(&mut self, kind: ConnectionKind) -> &mut usize {
+        match kind {
+            ConnectionKind::Client => &mut self.clients,
+            ConnectionKind::Node => &mut self.nodes,
+            ConnectionKind::Discovery => &mut self.discovery,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Slot {
     connection: Connection,
@@ -66,6 +87,7 @@
 #[derive(Debug, Default)]
 pub struct ConnectionTable {
     slots: Slab<Slot>,
+    counts: ConnectionCounts,
 }
 
 impl ConnectionTable {
@@ -74,14 +96,22 @@
         self.slots.len()
     }
 
+    /// Returns the number of connections of each kind.
+    pub fn counts(&self) -> ConnectionCounts {
+        self.counts
+    }
+
     /// Adds a connection and returns its id, which may have belonged to an earlier connection.
     pub fn insert(&mut self, connection: Connection) -> ConnectionId {
+        *self.counts.of_mut(connection.kind()) += 1;
         ConnectionId(self.slots.insert(Slot { connection, timer_at: None }))
     }
 
     /// Removes and returns a connection. Its id may be reused.
     pub fn remove(&mut self, id: ConnectionId) -> Connection {
-        self.slots.remove(id.0).connection
+        let connection = self.slots.remove(id.0).connection;
+        *self.counts.of_mut(connection.kind()) -= 1;
+        connection
     }
 
     /// Sets the time of the connection's timer; `None` means no timer. Returns the previous time.
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::Config;
 use crate::io::{ConnectionId, Effect};
 use crate::router::connection::Connection;
+use crate::router::connection::client::{ClientConnection, ClientState};
 use crate::router::connection::discovery::{
     DiscoveryError, DiscoveryRequest, EndpointList, RequestKind, ResponseRead, WatchMessage, WatchUpdate,
     parse_update,
@@ -116,7 +117,10 @@
         context.counters.discovery_requests += 1;
         let request = DiscoveryRequest::new(kind, context.now);
         let deadline = request.deadline();
-        let id = context.open(Connection::Discovery(request))?;
+        let Some(id) = context.open(Connection::Discovery(request)) else {
+            log_shortage(context, kind);
+            return None;
+        };
         context.effects.push(Effect::Connect { connection: id, address: self.address });
         context.set_connection_timer(id, Some(deadline));
         Some(id)
@@ -248,3 +252,20 @@
         context.connections.discovery_mut(id).closed_by_peer();
     }
 }
+
+/// Counts and logs a request to discovery for which no file descriptor is left, with the holders of all others.
+fn log_shortage(context: &mut Context, kind: RequestKind) {
+    context.counters.discovery_requests_without_descriptor += 1;
+    let counts = context.connections.counts();
+    let receiving = |client: &ClientConnection| client.state == ClientState::ReceivingRequest;
+    let clients_mid_request = context.connections.clients().filter(|(_, client)| receiving(client)).count();
+    tracing::warn!(
+        ?kind,
+        max_connections = context.limits.max_connections,
+        clients = counts.clients,
+        clients_mid_request,
+        nodes = counts.nodes,
+        discovery = counts.discovery,
+        "no file descriptor is left for a request to discovery"
+    );
+}
