Descriptors are divided by kind, so discovery and data nodes always have theirs

Cause: every kind of connection took from one pool (Context::open), only idle connections gave way, and the next waiting client took each freed descriptor at the end of the same iteration.

router/descriptor_shares.rs now has the whole rule: a few are kept for discovery, a third of the rest each for clients and for nodes, and the last third goes to whoever needs it first. A client that waits is accepted sooner: an incomplete request that began 50 ms ago or earlier gets 503 and gives way, a half-closed connection that lingers is closed after 100 ms, and clients that have sent a query within 2 s give way last (they used to be evicted first).

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -59,6 +59,8 @@
     queries_over_memory,
     /// Queries whose id belonged to a query in progress, or to one that may have been executed and is not idempotent.
     queries_with_used_id,
+    /// Incomplete requests that were rejected because another client waited for a file descriptor.
+    requests_rejected_for_descriptor,
     /// Queries whose client disconnected before the answer.
     queries_abandoned_by_client,
     /// Queries that were answered completely.
--- a/crates/query-router/src/router/clients/idle.rs
+++ b/crates/query-router/src/router/clients/idle.rs
@@ -1,6 +1,7 @@
 //! Client connections without a request: eviction above their limit, and closing in a graceful shutdown.
 
 use crate::io::{ConnectionId, Effect};
+use crate::router::connection::EvictionRank;
 use crate::router::connection::client::{ClientConnection, ClientState};
 use crate::router::context::Context;
 use balancer::Micros;
@@ -12,10 +13,6 @@
 /// transit.
 const FIRST_REQUEST_GRACE: Micros = 300_000;
 
-/// The time after the accept for which a connection without a request is kept while a client waits for a file descriptor.
-/// A deadline that is passed to a node may exceed what the client has left by 150 ms, of which this wait is a part.
-const SHORTAGE_GRACE: Micros = 100_000;
-
 /// Graceful shutdown: closes the connections without a request. Those that were accepted recently are kept for
 /// [`FIRST_REQUEST_GRACE`], since clients do not retry the first request of a connection.
 pub fn close_idle(context: &mut Context) {
@@ -33,21 +30,6 @@
     }
 }
 
-/// Lets new connections count as idle [`SHORTAGE_GRACE`] after their accept, because a client waits for a file
-/// descriptor. Otherwise connections on which nothing is sent could hold all descriptors for much longer.
-pub fn shorten_first_request_timeouts(context: &mut Context) {
-    if context.shutdown.closes_idle_connections() {
-        return;
-    }
-    let new: Vec<(ConnectionId, Micros)> = clients_without_request(context)
-        .filter(|(_, client)| client.state == ClientState::New)
-        .map(|(id, client)| (id, client.idle_from + SHORTAGE_GRACE))
-        .collect();
-    for (id, first_request_by) in new {
-        context.set_connection_timer(id, Some(first_request_by));
-    }
-}
-
 /// Closes the writing side of a connection without a request. A request that is in transit at that time does not cause
 /// a reset, so that its client retries it.
 pub fn half_close(context: &mut Context, id: ConnectionId) {
@@ -55,30 +37,36 @@
         return;
     }
     tracing::debug!(connection = id.0, "client connection closed for writing");
-    context.connections.client_mut(id).state = ClientState::HalfClosed;
+    let now = context.now;
+    let client = context.connections.client_mut(id);
+    client.state = ClientState::HalfClosed;
+    client.idle_from = now;
     context.effects.push(Effect::CloseWrite(id));
     context.set_connection_timer(id, Some(context.now + LINGER_TIMEOUT));
 }
 
 /// Returns the clients without a request in progress and without a pipelined one.
-fn clients_without_request(context: &Context) -> impl Iterator<Item = (ConnectionId, &ClientConnection)> {
+pub fn clients_without_request(context: &Context) -> impl Iterator<Item = (ConnectionId, &ClientConnection)> {
     context.connections.clients().filter(|(_, client)| client.has_no_request() && !client.has_next_request())
 }
 
 /// Evicts idle clients, the longest idle first, while clients without a request hold more than a sixth of all
-/// connections. A third of all connections is intended for clients, and at most half of that may be without a request,
-/// so that clients that send none do not keep others from being accepted.
+/// connections, so that clients that send none do not keep others from being accepted. Those that have sent a query
+/// recently are not evicted.
 pub fn evict_surplus_idle(context: &mut Context) {
     let max_without_request = (context.limits.max_connections / 6).max(1);
     let surplus = clients_without_request(context).count().saturating_sub(max_without_request);
     if surplus == 0 {
         return;
     }
-    let mut idle: Vec<(Micros, ConnectionId)> = clients_without_request(context)
-        .filter_map(|(id, client)| Some((client.idle_since()?, id)))
+    let mut idle: Vec<(EvictionRank, Micros, ConnectionId)> = clients_without_request(context)
+        .filter_map(|(id, client)| {
+            let (rank, since) = client.eviction_order(context.now)?;
+            (rank != EvictionRank::InUse).then_some((rank, since, id))
+        })
         .collect();
     idle.sort_unstable();
-    for (_, id) in idle.into_iter().take(surplus) {
+    for (.., id) in idle.into_iter().take(surplus) {
         context.evict_client(id);
     }
 }
--- a/crates/query-router/src/router/clients/mod.rs
+++ b/crates/query-router/src/router/clients/mod.rs
@@ -3,6 +3,7 @@
 mod idle;
 mod replies;
 mod requests;
+mod shortage;
 
 use crate::config::Config;
 use crate::io::{ConnectionId, Effect};
@@ -13,7 +14,7 @@
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use balancer::{Completion, Idempotency, Micros, QueryArrival, QueryId};
-use idle::{LINGER_TIMEOUT, evict_surplus_idle, half_close, shorten_first_request_timeouts};
+use idle::{LINGER_TIMEOUT, evict_surplus_idle, half_close};
 use replies::Replies;
 
 /// The time for which a new connection may have no request before it counts as idle, as specified by the platform.
@@ -39,6 +40,8 @@
 pub struct Clients {
     /// The number of clients that have connected and wait to be accepted.
     pending_accepts: usize,
+    /// The time at which accepting them is tried again; `None` if no timer is set.
+    accept_retry_at: Option<Micros>,
     replies: Replies,
     /// The number of bytes that were received from all clients and not consumed.
     unconsumed_bytes: usize,
@@ -60,6 +63,7 @@
         let deadlines = settings.named_classes().map(|class| class.deadline);
         Clients {
             pending_accepts: 0,
+            accept_retry_at: None,
             replies: Replies { longest_deadline: deadlines.max().unwrap_or(0) },
             unconsumed_bytes: 0,
             max_unconsumed_bytes: config
@@ -88,7 +92,7 @@
         self.accept_pending(context);
         if self.pending_accepts > 0 {
             context.counters.client_connections_delayed += 1;
-            shorten_first_request_timeouts(context);
+            shortage::shorten_first_request_timeouts(context);
         }
     }
 
@@ -101,7 +105,12 @@
     pub fn accept_pending(&mut self, context: &mut Context) {
         while self.pending_accepts > 0 {
             let client = ClientConnection::new(context.now);
-            let Some(id) = context.open(Connection::Client(client)) else { return };
+            let Some(id) = context.open(Connection::Client(client)) else {
+                if self.close_lingering(context) {
+                    continue;
+                }
+                return self.wait_for_descriptor(context);
+            };
             self.pending_accepts -= 1;
             context.effects.push(Effect::Accept(id));
             let timeout = if context.shutdown.closes_idle_connections() {
@@ -214,7 +223,7 @@
             // Nothing that stands behind the last response is handled.
             let length = client.unconsumed_bytes;
             self.consume(context, id, length);
-            return half_close(context, id);
+            return self.end_after_response(context, id);
         }
         client.state = ClientState::Idle;
         client.idle_from = now;
--- a/crates/query-router/src/router/clients/requests.rs
+++ b/crates/query-router/src/router/clients/requests.rs
@@ -144,7 +144,9 @@
             idempotency: self.idempotency[query.class],
             text: query.text,
         });
-        context.connections.client_mut(id).state = ClientState::AwaitingResponse(query_id);
+        let client = context.connections.client_mut(id);
+        client.state = ClientState::AwaitingResponse(query_id);
+        client.has_sent_query = true;
         let arrival = QueryArrival {
             query: query_id,
             class: query.class,
--- a/crates/query-router/src/router/connection/client.rs
+++ b/crates/query-router/src/router/connection/client.rs
@@ -1,9 +1,13 @@
 //! The state of a client connection.
 
+use super::EvictionRank;
 use super::arrival_times::ArrivalTimes;
 use crate::protocol::http::RequestProgress;
 use balancer::{Micros, QueryId};
 
+/// The time after a query for which a client may expect its connection to stay open, as specified by the platform.
+pub const KEEP_ALIVE_TIME: Micros = 2_000_000;
+
 /// The phase of the exchange of requests and responses on a client connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ClientState {
@@ -38,6 +42,8 @@
     TooManyPipelined,
     /// The client did not read a response in time.
     UnreadResponse,
+    /// Another client waits for the descriptor of an incomplete request.
+    DescriptorShortage,
     /// A shutdown is in progress.
     Shutdown,
 }
@@ -47,12 +53,15 @@
 pub struct ClientConnection {
     /// The phase of the exchange of requests and responses.
     pub state: ClientState,
-    /// The time at which the last response was written; the time of the accept before the first one.
+    /// The time at which the last response was written or the writing side was closed; the time of the accept before
+    /// the first one.
     pub idle_from: Micros,
     /// The time of the accept.
     pub connected_at: Micros,
     /// The number of requests that were handled, malformed ones included.
     pub requests: u64,
+    /// Whether a query of the client was accepted.
+    pub has_sent_query: bool,
     /// The number of requests that were answered with an error: invalid, rejected or failed.
     pub errors: u64,
     /// Why the connection is closed after the current response; `None` if it stays open.
@@ -81,6 +90,7 @@
             idle_from: now,
             connected_at: now,
             requests: 0,
+            has_sent_query: false,
             errors: 0,
             close_reason: None,
             response_bytes: 0,
@@ -108,11 +118,29 @@
         (self.state == ClientState::Idle && !self.has_next_request()).then_some(self.idle_from)
     }
 
+    /// Returns the rank of the connection among those that may be evicted and the time since which it is idle; `None` if
+    /// it may not be evicted.
+    pub fn eviction_order(&self, now: Micros) -> Option<(EvictionRank, Micros)> {
+        let since = self.idle_since()?;
+        let rank = match self.has_sent_query {
+            false => EvictionRank::WithoutQuery,
+            true if now - since >= KEEP_ALIVE_TIME => EvictionRank::Idle,
+            true => EvictionRank::InUse,
+        };
+        Some((rank, since))
+    }
+
     /// Returns whether unconsumed bytes follow the last request.
     pub fn has_next_request(&self) -> bool {
         self.unconsumed_bytes > 0
     }
 
+    /// Returns whether the connection holds a descriptor without a complete request or response, and not because the
+    /// client may expect that it stays open.
+    pub fn is_without_complete_request(&self) -> bool {
+        matches!(self.state, ClientState::New | ClientState::ReceivingRequest | ClientState::HalfClosed)
+    }
+
     /// Returns whether no request is in progress and the connection is not being closed.
     pub fn has_no_request(&self) -> bool {
         matches!(self.state, ClientState::New | ClientState::Idle)
--- a/crates/query-router/src/router/connection/mod.rs
+++ b/crates/query-router/src/router/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod response_tracker;
 
 use crate::io::ConnectionId;
+use crate::router::descriptor_shares::EvictionScope;
 use balancer::Micros;
 use client::{ClientConnection, ClientState};
 use discovery::{DiscoveryRequest, RequestKind};
@@ -46,16 +47,30 @@
         }
     }
 
-    /// Returns the time since which the connection is idle; `None` if it may not be evicted.
-    fn idle_since(&self) -> Option<Micros> {
+    /// Returns the rank of the connection among those that may be evicted and the time since which it is idle; `None` if
+    /// it may not be evicted or is not within the scope.
+    fn eviction_order(&self, now: Micros, scope: EvictionScope) -> Option<(EvictionRank, Micros)> {
         match self {
-            Connection::Client(client) => client.idle_since(),
-            Connection::Node(node) => node.idle_since(),
-            Connection::Discovery(_) => None,
+            Connection::Client(client) if scope != EvictionScope::Nodes => client.eviction_order(now),
+            Connection::Node(node) if scope != EvictionScope::Clients => {
+                Some((EvictionRank::Idle, node.idle_since()?))
+            }
+            Connection::Client(_) | Connection::Node(_) | Connection::Discovery(_) => None,
         }
     }
 }
 
+/// The order in which idle connections are evicted. Within a rank, the one that has been idle for longest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvictionRank {
+    /// Clients without a query.
+    WithoutQuery,
+    /// Node connections, and clients that have not sent a request for [`client::KEEP_ALIVE_TIME`] after a query.
+    Idle,
+    /// Clients that have sent a query recently.
+    InUse,
+}
+
 /// The number of connections of each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConnectionCounts {
@@ -68,7 +83,8 @@
 }
 
 impl ConnectionCounts {
-    fn of_mut(&mut self, kind: ConnectionKind) -> &mut usize {
+    /// Returns the number of connections of a kind for modification.
+    pub fn of_mut(&mut self, kind: ConnectionKind) -> &mut usize {
         match kind {
             ConnectionKind::Client => &mut self.clients,
             ConnectionKind::Node => &mut self.nodes,
@@ -196,9 +212,12 @@
         self.clients().filter(|(_, client)| client.state == ClientState::ClosingIfIdle).count()
     }
 
-    /// Returns the connection that has been idle for longest; `None` if none may be evicted.
-    pub fn longest_idle(&self) -> Option<ConnectionId> {
-        let idle = self.iter().filter_map(|(id, connection)| Some((connection.idle_since()?, id)));
-        idle.min().map(|(_, id)| id)
+    /// Returns the connection that gives way first at `now`, with its rank; `None` if none within the scope is idle.
+    pub fn first_to_evict(&self, now: Micros, scope: EvictionScope) -> Option<(EvictionRank, ConnectionId)> {
+        let idle = self.iter().filter_map(|(id, connection)| {
+            let (rank, since) = connection.eviction_order(now, scope)?;
+            Some((rank, since, id))
+        });
+        idle.min().map(|(rank, _, id)| (rank, id))
     }
 }
--- a/crates/query-router/src/router/context.rs
+++ b/crates/query-router/src/router/context.rs
@@ -5,7 +5,8 @@
 use crate::counters::Counters;
 use crate::io::{ConnectionId, Effect};
 use crate::router::connection::client::ClientState;
-use crate::router::connection::{Connection, ConnectionKind, ConnectionTable};
+use crate::router::connection::{Connection, ConnectionKind, ConnectionTable, EvictionRank};
+use crate::router::descriptor_shares::{Admission, DescriptorShares, EvictionScope};
 use crate::router::endpoints::Endpoints;
 use crate::router::log_limit::LogLimit;
 use crate::router::rules::{self, CheckedAction};
@@ -51,6 +52,11 @@
             decision_interval: config.settings.decision_interval,
         }
     }
+
+    /// Returns the shares of each kind of connection.
+    pub fn descriptor_shares(&self) -> DescriptorShares {
+        DescriptorShares::new(self.max_connections)
+    }
 }
 
 /// The state that all components share.
@@ -107,15 +113,19 @@
         }
     }
 
-    /// Adds a connection. At the limit on connections, the one that has been idle for longest is closed first. Client
-    /// connections in [`ClientState::ClosingIfIdle`] do not count. Returns `None` if the limit is reached and either no
-    /// connection is idle or [`MAX_CLOSING`] client connections are in that state.
+    /// Adds a connection. At the limit of its kind an idle one is closed first. Client connections in
+    /// [`ClientState::ClosingIfIdle`] do not count. Returns `None` if the limit is reached and either none gives way or
+    /// [`MAX_CLOSING`] client connections are in that state.
     pub fn open(&mut self, connection: Connection) -> Option<ConnectionId> {
-        let max_connections = self.limits.max_connections;
-        if self.connections.len() >= max_connections {
+        let kind = connection.kind();
+        let shares = self.limits.descriptor_shares();
+        let mut counts = self.connections.counts();
+        if shares.admit(kind, counts) != Admission::Free {
             let closing = self.connections.closing_if_idle_count();
-            let is_full = self.connections.len() - closing >= max_connections;
-            if is_full && (closing >= MAX_CLOSING || !self.evict_longest_idle()) {
+            counts.clients -= closing;
+            if let Admission::Replaces(scope) = shares.admit(kind, counts)
+                && (closing >= MAX_CLOSING || !self.evict_first(kind, scope))
+            {
                 return None;
             }
         }
@@ -124,9 +134,17 @@
         Some(id)
     }
 
-    /// Closes the client or node connection that has been idle for longest. Returns false if none is idle.
-    fn evict_longest_idle(&mut self) -> bool {
-        let Some(id) = self.connections.longest_idle() else { return false };
+    /// Closes the idle connection within the scope that gives way first to one of this kind. Returns false if there is
+    /// none. A client that has sent a query recently does not give way to another client while a connection without a
+    /// complete request will soon.
+    fn evict_first(&mut self, kind: ConnectionKind, scope: EvictionScope) -> bool {
+        let Some((rank, id)) = self.connections.first_to_evict(self.now, scope) else { return false };
+        if kind == ConnectionKind::Client
+            && rank == EvictionRank::InUse
+            && self.connections.clients().any(|(_, client)| client.is_without_complete_request())
+        {
+            return false;
+        }
         match self.connections.kind(id) {
             Some(ConnectionKind::Client) => self.evict_client(id),
             _ => self.close_idle_node_connection(id),
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -23,6 +23,7 @@
 use serde_json::Value as Json;
 use std::net::SocketAddr;
 use watches::Watches;
+pub use watches::max_watches;
 
 /// The state that concerns all requests to discovery together.
 pub struct Discovery {
--- a/crates/query-router/src/router/discovery/watches.rs
+++ b/crates/query-router/src/router/discovery/watches.rs
@@ -19,6 +19,11 @@
 /// The interval at which the youngest of the most watches is replaced while none has a complete message.
 const REPLACEMENT_INTERVAL: Micros = 8_000_000;
 
+/// Returns the most watches that a router with this limit on connections has at a time.
+pub fn max_watches(max_connections: usize) -> usize {
+    (max_connections / CONNECTIONS_PER_WATCH).clamp(1, MAX_WATCHES)
+}
+
 /// The open watches.
 #[derive(Debug)]
 pub struct Watches {
@@ -36,7 +41,7 @@
     /// Creates the state without a watch, for a router that may have this many connections.
     pub fn new(max_connections: usize) -> Watches {
         Watches {
-            max_watches: (max_connections / CONNECTIONS_PER_WATCH).clamp(1, MAX_WATCHES),
+            max_watches: max_watches(max_connections),
             current: None,
             pending: Vec::new(),
             last_started_at: 0,
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - `timers`, `shutdown`, `read_wait`, `executed_ids`, `log_limit`, `endpoints` and `connection`: state without effects
 //! - `rules`: preconditions of actions
+//! - `descriptor_shares`: who may take how many file descriptors
 //! - `context`: the state that all components share
 //! - `query_table`: the queries in progress
 //! - `node_connections`: the connections to data nodes
@@ -16,6 +17,7 @@
 mod clients;
 mod connection;
 mod context;
+mod descriptor_shares;
 mod discovery;
 mod dispatch;
 mod endpoints;
@@ -295,6 +297,7 @@
             Timer::StartWatch => discovery.ensure_watch(context),
             Timer::AdditionalWatch => discovery.start_additional_watch(context),
             Timer::AcceptOlderRevision => discovery.accept_older_revision(context),
+            Timer::AcceptClients => clients.retry_accept(context),
             Timer::CloseIdleClients => clients.close_idle(context),
             Timer::ResponseDeadline => clients.reject_incomplete(context),
             Timer::Connection(id) => self.connection_timer_expired(id),
@@ -363,6 +366,7 @@
             self.decision_needed = true;
         }
         clients.close(context, id);
+        clients.accept_pending(context);
     }
 
     fn node_received(&mut self, id: ConnectionId, bytes: &[u8]) {
--- a/crates/query-router/src/router/node_connections/mod.rs
+++ b/crates/query-router/src/router/node_connections/mod.rs
@@ -5,6 +5,8 @@
 mod selection;
 mod write;
 
+#[cfg(test)]
+pub use lifecycle::open as open_connection;
 pub use lifecycle::{NodeReport, close_or_keep_idle, ended};
 pub use receive::{next_report, received_unexpected};
 pub use selection::{queue_batch, reassign_batches, select_connection};
--- a/crates/query-router/src/router/node_connections/selection.rs
+++ b/crates/query-router/src/router/node_connections/selection.rs
@@ -46,8 +46,8 @@
     {
         return Some(candidate.connection);
     }
-    // A third of the connections is intended for clients; the ready nodes share the others equally.
-    let share = 2 * context.limits.max_connections / 3 / context.endpoints.ready_count().max(1);
+    let max_connections = context.limits.descriptor_shares().max_nodes();
+    let share = max_connections / context.endpoints.ready_count().max(1);
     let shared = best.map(|candidate| candidate.connection);
     let share_is_used_up = context.endpoints[node].connections.len() >= share;
     if share_is_used_up && shared.is_some() {
--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod connection_limit;
+mod descriptor_shortage;
 mod discovery;
 mod dispatch;
 mod drain_grid;
--- a/crates/query-router/src/router/timers.rs
+++ b/crates/query-router/src/router/timers.rs
@@ -21,6 +21,8 @@
     AdditionalWatch,
     /// The time from which endpoint lists with an older revision are accepted.
     AcceptOlderRevision,
+    /// The time at which to try again to accept a client that waits for a file descriptor.
+    AcceptClients,
     /// Graceful shutdown: the start of the phase in which connections without a request are closed.
     CloseIdleClients,
     /// Graceful shutdown: the time at which incomplete requests are rejected.
