Soak: watches end and a node drains while clients with half a request hold all descriptors

The schedule knew no watch that ends while clients hold the descriptors of a router, and its crowd sent nothing.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -4,7 +4,7 @@
 use crate::config::router_config;
 use crate::discovery::{Discovery, DiscoveryMode};
 use crate::floods::kind::FloodKind;
-use crate::idle_connections::IdleConnections;
+use crate::held_connections::{HeldConnections, Holding};
 use crate::node::Behaviour;
 use crate::proxy::Proxy;
 use crate::recording_process::{RecordingProcess, Records};
@@ -90,7 +90,9 @@
     pub node_delays: Vec<NodeDelay>,
     pub router_delays: Vec<RouterDelay>,
     /// Idle connections that use up the routers' descriptors; `None` in most runs.
-    pub idle_connections: Option<IdleConnections>,
+    pub idle_connections: Option<HeldConnections>,
+    /// Connections with half a request that use up the descriptors of one router, for a time in some runs.
+    crowd: Option<HeldConnections>,
     pub nodes: Vec<NodeHandle>,
     pub routers: Vec<RouterProcess>,
     /// The processes of floods, which end by themselves.
@@ -125,6 +127,7 @@
             node_delays: Vec::new(),
             router_delays: Vec::new(),
             idle_connections: None,
+            crowd: None,
             nodes: Vec::new(),
             routers: Vec::new(),
             floods: Vec::new(),
@@ -299,10 +302,21 @@
     fn start_idle_connections(&mut self) {
         if self.has_idle_connections() {
             let addresses = self.routers.iter().map(|router| router.address).collect();
-            self.idle_connections = Some(IdleConnections::start(addresses));
+            self.idle_connections = Some(HeldConnections::start(addresses, Holding::SILENT));
         }
     }
 
+    /// Lets clients with half a request use up the descriptors of a router.
+    pub fn start_crowd(&mut self, router: usize) {
+        let address = self.routers[router].address;
+        self.crowd = Some(HeldConnections::start(vec![address], Holding::HALF_REQUESTS));
+    }
+
+    /// Ends these clients.
+    pub fn end_crowd(&mut self) {
+        self.crowd = None;
+    }
+
     /// Starts a process with a few clients that flood a router.
     pub fn start_flood(&mut self, router: usize, kind: FloodKind, milliseconds: u64) {
         let address = self.routers[router].address.to_string();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,7 +11,7 @@
 mod config;
 mod discovery;
 mod floods;
-mod idle_connections;
+mod held_connections;
 mod node;
 mod proxy;
 mod record;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -31,6 +31,18 @@
 const FLOOD_INTERVAL_MS: i64 = 2000;
 /// Distinguishes the random numbers of floods from those of other disruptions.
 const FLOOD_SEED: u64 = 0x000f_100d;
+/// In the run of every seed with this remainder of division by [`CROWD_SEEDS`], watches end and a node drains while
+/// clients with half a request hold the descriptors of a router.
+const CROWD_SEED: u64 = 1;
+const CROWD_SEEDS: u64 = 4;
+/// Distinguishes the random numbers of crowds from those of other disruptions.
+const CROWD_RANDOM_SEED: u64 = 0x00c4_0da1;
+/// Times after the start of a crowd: its clients hold all descriptors, the watches have ended, the drained node is
+/// removed, and the removal is known to all routers for some time.
+const CROWD_RESET_MS: i64 = 1500;
+const CROWD_DRAIN_MS: i64 = 2500;
+const CROWD_REMOVE_MS: i64 = 3500;
+const CROWD_END_MS: i64 = 12_000;
 /// How long a system call or a router's process is delayed.
 const DELAY_MS: u64 = 80;
 
@@ -75,6 +87,9 @@
     /// Changes how discovery responds.
     SetDiscoveryMode(DiscoveryMode),
     ResetWatches,
+    /// Lets clients with half a request use up the descriptors of a router.
+    StartCrowd(usize),
+    EndCrowd,
     /// Starts clients that flood a router with requests of a kind for this number of milliseconds.
     Flood(usize, FloodKind, u64),
 }
@@ -201,6 +216,8 @@
             Action::ResetProxyConnections(node) => cluster.nodes[node].proxy.reset_all(),
             Action::SetDiscoveryMode(mode) => cluster.set_discovery_mode(mode),
             Action::ResetWatches => cluster.discovery.reset_watches(),
+            Action::StartCrowd(router) => cluster.start_crowd(router),
+            Action::EndCrowd => cluster.end_crowd(),
             Action::Flood(router, kind, milliseconds) => cluster.start_flood(router, kind, milliseconds),
         }
     }
@@ -215,6 +232,22 @@
         self.flood_rng.i64(FLOOD_INTERVAL_MS / 2..FLOOD_INTERVAL_MS * 3 / 2) * MILLISECOND
     }
 
+    /// Schedules the crowd of the run with this seed, if it has one.
+    pub fn add_crowd(&mut self, cluster: &Cluster, seed: u64) {
+        if seed % CROWD_SEEDS != CROWD_SEED {
+            return;
+        }
+        let mut rng = Rng::with_seed(seed ^ CROWD_RANDOM_SEED);
+        let router = rng.usize(..cluster.routers.len());
+        let node = rng.usize(..cluster.nodes.len());
+        self.schedule_after(0, Action::StartCrowd(router));
+        self.schedule_after(CROWD_RESET_MS, Action::ResetWatches);
+        self.schedule_after(CROWD_DRAIN_MS, Action::Drain(node));
+        self.schedule_after(CROWD_REMOVE_MS, Action::Remove(node));
+        self.schedule_after(CROWD_END_MS, Action::EndCrowd);
+        self.schedule_after(CROWD_END_MS, Action::PublishReady(node));
+    }
+
     /// Draws a disruption and schedules its actions.
     pub fn add_disruption(&mut self, cluster: &Cluster) {
         let duration = self.rng.i64(800..3000);
