The control plane limits its connections and keeps descriptors free for discovery

What callers saw: with 64 descriptors of the process and 80 clients that connect and say nothing, a watch that was reset was not asked for again ('Too many open files'), and nobody else was answered. Cause: the control plane accepted as many connections as there were descriptors, closed no silent one, and kept nothing free.

server/connection_limit.rs divides the limit of the process: 20 descriptors for itself, discovery, the configuration and certificates, an eighth (64 at most) for probes, the rest for connections. At the limit the oldest connection without a stream, 0.1 s old at least, is closed for the next; one with a stream is a proxy's and stays.

--- a/crates/cli/tests/loopback/main.rs
+++ b/crates/cli/tests/loopback/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the router as a process on loopback connections: complete queries, and orders of events that rarely occur
 //! unless a test forces them.
 
+mod control_plane;
 mod discovery;
 mod drains;
 mod leaving_clients;
--- a/crates/control-plane/src/server/connection.rs
+++ b/crates/control-plane/src/server/connection.rs
@@ -1,5 +1,6 @@
 //! Connections from proxies, with or without TLS.
 
+use super::connection_limit::{ConnectionLimit, ConnectionPlace, OpenConnection};
 use crate::control_plane::AuthorizedNames;
 use crate::tls::{ReloadableTlsConfig, dns_names};
 use std::io;
@@ -23,23 +24,73 @@
 /// close first.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Interval between attempts to find a place for an accepted connection at the limit.
+const PLACE_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A TCP connection with its place in the limit on connections. Reading fails once it is evicted.
+pub(super) struct LimitedStream {
+    stream: TcpStream,
+    place: ConnectionPlace,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.place.connection.poll_evicted(context) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        Pin::new(&mut this.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
 /// An accepted connection; with TLS, its handshake is complete.
 pub(super) enum Connection {
-    Plain(TcpStream),
-    Tls(Box<TlsStream<TcpStream>>),
+    Plain(LimitedStream),
+    Tls(Box<TlsStream<LimitedStream>>),
+}
+
+/// What the services know of the connection of a request.
+#[derive(Clone)]
+pub(super) struct ConnectionInfo {
+    /// The DNS names in the client certificate; any name is authorized without TLS.
+    pub authorized_names: AuthorizedNames,
+    /// The connection in the limit on connections.
+    pub open: Arc<OpenConnection>,
 }
 
 impl Connected for Connection {
-    type ConnectInfo = AuthorizedNames;
+    type ConnectInfo = ConnectionInfo;
 
-    /// Returns the DNS names in the client certificate; any name is authorized without TLS.
-    fn connect_info(&self) -> AuthorizedNames {
+    fn connect_info(&self) -> ConnectionInfo {
         match self {
-            Connection::Plain(_) => AuthorizedNames::Any,
+            Connection::Plain(stream) => ConnectionInfo {
+                authorized_names: AuthorizedNames::Any,
+                open: stream.place.connection.clone(),
+            },
             Connection::Tls(stream) => {
-                let certificates = stream.get_ref().1.peer_certificates().unwrap_or_default();
+                let (stream, session) = stream.get_ref();
+                let certificates = session.peer_certificates().unwrap_or_default();
                 let names = certificates.first().map_or(Vec::new(), |certificate| dns_names(certificate));
-                AuthorizedNames::Only(Arc::new(names))
+                ConnectionInfo {
+                    authorized_names: AuthorizedNames::Only(Arc::new(names)),
+                    open: stream.place.connection.clone(),
+                }
             }
         }
     }
@@ -79,10 +130,10 @@
     }
 }
 
-/// Accepts connections. Each TLS handshake runs in a task of its own, so that a slow client does not block others.
+/// Accepts connections within the limit. Each TLS handshake runs in a task of its own, so that a slow client does not block others.
 /// Without TLS, returns at the first connection after the receiver of `connections` has been dropped.
 pub(super) async fn accept(
-    listener: TcpListener, mut tls: Option<ReloadableTlsConfig>,
+    listener: TcpListener, limit: ConnectionLimit, mut tls: Option<ReloadableTlsConfig>,
     connections: mpsc::Sender<io::Result<Connection>>,
 ) {
     let mut certificate_check = tokio::time::interval(CERTIFICATE_CHECK_INTERVAL);
@@ -90,9 +141,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = certificate_check.tick() => {
-                if let Some(tls) = &mut tls {
-                    tls.reload_if_changed();
-                }
+                reload_certificates(&mut tls);
                 continue;
             }
         };
@@ -102,6 +151,16 @@
         };
         // A failure only increases the latency of small writes.
         let _ = stream.set_nodelay(true);
+        let place = loop {
+            if let Some(place) = limit.try_add() {
+                break place;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(PLACE_RETRY_INTERVAL) => {}
+                _ = certificate_check.tick() => reload_certificates(&mut tls),
+            }
+        };
+        let stream = LimitedStream { stream, place };
         if let Some(tls) = &tls {
             tokio::spawn(handshake(stream, tls.config(), connections.clone()));
         } else if connections.send(Ok(Connection::Plain(stream))).await.is_err() {
@@ -110,8 +169,14 @@
     }
 }
 
+fn reload_certificates(tls: &mut Option<ReloadableTlsConfig>) {
+    if let Some(tls) = tls {
+        tls.reload_if_changed();
+    }
+}
+
 async fn handshake(
-    stream: TcpStream, config: Arc<ServerConfig>, connections: mpsc::Sender<io::Result<Connection>>,
+    stream: LimitedStream, config: Arc<ServerConfig>, connections: mpsc::Sender<io::Result<Connection>>,
 ) {
     let handshake = TlsAcceptor::from(config).accept(stream);
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
--- a/crates/control-plane/src/server/driver.rs
+++ b/crates/control-plane/src/server/driver.rs
@@ -19,9 +19,6 @@
 use xds_api::pb::envoy::service::discovery::v3 as ads;
 use xds_api::pb::envoy::service::load_stats::v3 as lrs;
 
-/// Maximum number of data nodes that are probed at the same time.
-const MAX_CONCURRENT_PROBES: usize = 64;
-
 /// An event that another task sends to the driver.
 pub(super) enum Event {
     StreamOpened {
@@ -51,8 +48,9 @@
 }
 
 impl Driver {
-    /// Creates a driver. The probes that it starts send their results to `events`.
-    pub fn new(config: &Config, options: Options, events: mpsc::Sender<Event>) -> Driver {
+    /// Creates a driver. The probes that it starts, at most `max_probes` at the same time, send their results to
+    /// `events`.
+    pub fn new(config: &Config, options: Options, events: mpsc::Sender<Event>, max_probes: usize) -> Driver {
         let clock = Clock::new();
         let control_plane = ControlPlane::new(clock.now(), config, options);
         Driver {
@@ -62,7 +60,7 @@
             streams: HashMap::new(),
             watch_requested: Arc::default(),
             events,
-            probe_permits: Arc::new(Semaphore::new(MAX_CONCURRENT_PROBES)),
+            probe_permits: Arc::new(Semaphore::new(max_probes)),
         }
     }
 
--- a/crates/control-plane/src/server/grpc.rs
+++ b/crates/control-plane/src/server/grpc.rs
@@ -1,6 +1,7 @@
 //! The gRPC services. Each stream has a task that forwards received messages to the driver, and a channel that
 //! queues outgoing ones.
 
+use super::connection::ConnectionInfo;
 use super::driver::Event;
 use crate::codec;
 use crate::control_plane::{AuthorizedNames, Service};
@@ -77,7 +78,11 @@
         &self, request: Request<Streaming<M>>, service: Service, event: fn(StreamId, Box<M>) -> Event,
     ) -> Result<ReceiverStream<OutgoingMessage>, Status> {
         let stream = StreamId(self.next_stream.fetch_add(1, Ordering::Relaxed));
-        let authorized_names = request.extensions().get::<AuthorizedNames>().cloned();
+        let connection = request.extensions().get::<ConnectionInfo>();
+        let authorized_names = connection.map(|connection| {
+            connection.open.stream_opened();
+            connection.authorized_names.clone()
+        });
         let (messages, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let ended = Arc::new(Notify::new());
         let opened = Event::StreamOpened {
--- a/crates/control-plane/src/server/http.rs
+++ b/crates/control-plane/src/server/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for the gRPC services and for the metrics at `/-/counters`.
 
 use super::connection::{Connection, accept};
+use super::connection_limit::ConnectionLimit;
 use super::driver::Event;
 use super::grpc::GrpcServices;
 use crate::tls::ReloadableTlsConfig;
@@ -35,11 +36,11 @@
 impl HttpServer {
     /// Starts tasks that accept and serve the connections of a listener.
     pub fn start(
-        listener: TcpListener, tls: Option<ReloadableTlsConfig>, services: GrpcServices,
-        events: mpsc::Sender<Event>,
+        listener: TcpListener, limit: ConnectionLimit, tls: Option<ReloadableTlsConfig>,
+        services: GrpcServices, events: mpsc::Sender<Event>,
     ) -> HttpServer {
         let (connections, incoming) = mpsc::channel::<std::io::Result<Connection>>(MAX_QUEUED_CONNECTIONS);
-        tokio::spawn(accept(listener, tls, connections));
+        tokio::spawn(accept(listener, limit, tls, connections));
         let (shutdown, shutdown_requested) = oneshot::channel::<()>();
         let server = Server::builder()
             .accept_http1(true)
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod connection;
+mod connection_limit;
 mod discovery;
 mod driver;
 mod error;
@@ -15,6 +16,7 @@
 use crate::discovery_watch::EndpointListUpdate;
 use crate::options::Options;
 use crate::tls::ReloadableTlsConfig;
+use connection_limit::{ConnectionLimit, DescriptorShares};
 use discovery::watch_discovery;
 use driver::{Driver, Event};
 use grpc::GrpcServices;
@@ -115,11 +117,12 @@
 
     let (events, event_queue) = mpsc::channel(MAX_QUEUED_EVENTS);
     let services = GrpcServices::new(events.clone(), options.lease, options.report_interval);
-    let mut driver = Driver::new(&config, options, events.clone());
+    let shares = DescriptorShares::of_process();
+    let mut driver = Driver::new(&config, options, events.clone(), shares.probes);
     let (discovery, discovery_address) = watch::channel(config.discovery);
     let (updates, endpoint_updates) = mpsc::channel(MAX_QUEUED_ENDPOINT_UPDATES);
     tokio::spawn(watch_discovery(discovery_address, driver.watch_requested(), updates));
-    let server = HttpServer::start(listener, tls, services, events);
+    let server = HttpServer::start(listener, ConnectionLimit::new(shares.connections), tls, services, events);
     tracing::info!(name = %config.name, %address, "control plane started");
     // The caller may have dropped the receiver.
     let _ = ready.send(address);
