--- a/crates/cli/tests/loopback/resource_limits.rs
+++ b/crates/cli/tests/loopback/resource_limits.rs
@@ -2,12 +2,19 @@
 //! unaffected.
 
 use crate::rig::{
-    DataNode, FullBacklogNode, LONG_DEADLINE, RouterProcess, config, discovery_with_node, frame,
-    start_with_node,
+    DataNode, FullBacklogNode, HalfRequests, LONG_DEADLINE, RouterProcess, ScriptedDiscovery, config,
+    config_path, discovery_with_node, frame, start_with_node,
 };
-use std::time::Duration;
+use rustix::process::Signal;
+use std::process::Command;
+use std::time::{Duration, Instant};
 use test_servers::Discovery;
 
+/// A change counts as told this long after discovery had it and could be reached.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(6);
+/// Whatever discovery has to tell counts as told this long after a reload.
+const DELIVERY_TIMEOUT_AFTER_RELOAD: Duration = Duration::from_secs(4);
+
 /// Starts a router whose socket limit allows the watch of discovery and one client connection.
 fn start_with_two_sockets(test_name: &str, node: &DataNode) -> (RouterProcess, Discovery) {
     let discovery = discovery_with_node(node.address);
@@ -102,3 +109,34 @@
     let log = router.terminate();
     assert!(node.has_no_connection() && log.contains("queries_abandoned_by_client 1\n"), "{log}");
 }
+
+/// Guards against a process that counts on more descriptors than the system gives it: discovery and a reload would then
+/// depend on who comes first whenever one is freed.
+#[test]
+fn fewer_descriptors_than_configured_leave_some_for_discovery_and_a_reload() {
+    let (discovery, moved) = (ScriptedDiscovery::new(), ScriptedDiscovery::new());
+    let mut config = config(discovery.address(), LONG_DEADLINE);
+    config["limits"]["sockets"] = 1024.into();
+    let path = config_path("fewer-descriptors");
+    std::fs::write(&path, config.to_string()).expect("the configuration file can be written");
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", "ulimit -n 64; exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_query-router")]);
+    let mut router = RouterProcess::spawn_command(command, &path);
+    router.wait_until_listening();
+    let (_, watch) = discovery.accept_request();
+    let clients = HalfRequests::start(&router.address, 150);
+    std::thread::sleep(Duration::from_millis(300));
+    drop(watch);
+    let ended_at = Instant::now();
+    let _next = discovery.accept_request();
+    assert!(ended_at.elapsed() < DELIVERY_TIMEOUT, "{:?}", ended_at.elapsed());
+    config["discovery"] = moved.address().to_string().into();
+    std::fs::write(&path, config.to_string()).expect("the configuration file can be written");
+    router.signal(Signal::HUP);
+    let reloaded_at = Instant::now();
+    let _moved = moved.accept_request();
+    assert!(reloaded_at.elapsed() < DELIVERY_TIMEOUT_AFTER_RELOAD, "{:?}", reloaded_at.elapsed());
+    drop(clients);
+    let _ = std::fs::remove_file(path);
+    router.terminate();
+}
--- a/crates/query-router/src/config.rs
+++ b/crates/query-router/src/config.rs
@@ -28,6 +28,8 @@
     pub seed: u64,
     /// The limit on open file descriptors of the process.
     pub max_sockets: usize,
+    /// The limit that the system sets; [`usize::MAX`] if none is known.
+    pub system_descriptor_limit: usize,
     /// The memory limit of the process in bytes; `None` if there is no limit.
     pub max_memory_bytes: Option<usize>,
     /// The endpoint list to use until discovery sends one, in the format of discovery.
@@ -71,6 +73,7 @@
             discovery: fields.address("discovery")?,
             seed: parse_seed(seed)?,
             max_sockets: fields.count("limits/sockets")?,
+            system_descriptor_limit: usize::MAX,
             cached_endpoints,
             settings: stated_settings.to_settings(),
             stated_settings,
@@ -79,6 +82,11 @@
         Ok(config)
     }
 
+    /// Returns how many file descriptors the process may have open.
+    pub fn usable_descriptors(&self) -> usize {
+        self.max_sockets.min(self.system_descriptor_limit)
+    }
+
     /// Returns those of the fields `name`, `listen`, `limits` and `settings` that differ in `newer`: they are applied
     /// only at a restart. `discovery` is applied at a reload; `seed` and `known` matter only at the start.
     pub fn fields_needing_restart(&self, newer: &Config) -> Vec<&'static str> {
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -35,6 +35,7 @@
 use monitor::IterationMonitor;
 use ready_queue::ReadyQueue;
 use retries::Retries;
+use rustix::process::{Resource, getrlimit};
 use server::{ExitState, Server};
 use std::collections::VecDeque;
 
@@ -54,7 +55,8 @@
 /// # Errors
 ///
 /// Returns a [`ServeError`] if the router cannot start, or if waiting for events fails repeatedly.
-pub fn serve(signals: SignalSource, config: Config, config_path: String) -> Result<(), ServeError> {
+pub fn serve(signals: SignalSource, mut config: Config, config_path: String) -> Result<(), ServeError> {
+    config.system_descriptor_limit = descriptor_limit();
     let (mut event_loop, mut server) = start(signals, config, config_path)?;
     while server.exit != ExitState::Done {
         let timeout = server.poll_timeout();
@@ -68,6 +70,11 @@
     Ok(())
 }
 
+/// Returns the limit of the system on the file descriptors of this process; [`usize::MAX`] if there is none.
+fn descriptor_limit() -> usize {
+    getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize)
+}
+
 /// Binds the listener and registers the event sources with a new event loop.
 fn start(
     signals: SignalSource, config: Config, config_path: String,
--- a/crates/query-router/src/router/context.rs
+++ b/crates/query-router/src/router/context.rs
@@ -43,7 +43,7 @@
         let connect_timeout = limits.connect_timeout.unwrap_or(0);
         let idle_timeout = limits.idle_timeout;
         Limits {
-            max_connections: config.max_sockets.saturating_sub(RESERVED_DESCRIPTORS).max(1),
+            max_connections: config.usable_descriptors().saturating_sub(RESERVED_DESCRIPTORS).max(1),
             max_requests_per_connection: limits.max_requests_per_connection,
             connect_timeout,
             // The router closes a connection before the data node may: a request sent while the node closes meets a
