The time that a client waits to be accepted is taken from its deadline

The client had waited in the system's queue behind a crowd with half requests, at a router whose sends were delayed by 80 ms.

At the first read of a client the event loop now asks the system when the last bytes came (TCP_INFO), and the state machine counts the deadline from there.

Held connections of tests are one module of test-servers, used by the soak and by the loopback tests.

--- a/crates/cli/tests/loopback/control_plane.rs
+++ b/crates/cli/tests/loopback/control_plane.rs
@@ -10,7 +10,7 @@
 const SILENT_CLIENTS: usize = 80;
 /// The limit of the process.
 const DESCRIPTORS: usize = 64;
-/// A change counts as told this long after discovery had it and could be reached.
+/// The time after which a change counts as delivered if discovery could be reached.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// A control plane, which is killed on drop.
--- a/crates/cli/tests/loopback/resource_limits.rs
+++ b/crates/cli/tests/loopback/resource_limits.rs
@@ -2,17 +2,17 @@
 //! unaffected.
 
 use crate::rig::{
-    DataNode, FullBacklogNode, HalfRequests, LONG_DEADLINE, RouterProcess, ScriptedDiscovery, config,
-    config_path, discovery_with_node, frame, start_with_node,
+    DataNode, FullBacklogNode, LONG_DEADLINE, RouterProcess, ScriptedDiscovery, config, config_path,
+    discovery_with_node, frame, start_with_node,
 };
 use rustix::process::Signal;
 use std::process::Command;
 use std::time::{Duration, Instant};
-use test_servers::Discovery;
+use test_servers::{Discovery, HeldConnections, Holding};
 
-/// A change counts as told this long after discovery had it and could be reached.
+/// The time after which a change counts as delivered if discovery could be reached.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(6);
-/// Whatever discovery has to tell counts as told this long after a reload.
+/// The time after a reload after which the list of discovery counts as delivered.
 const DELIVERY_TIMEOUT_AFTER_RELOAD: Duration = Duration::from_secs(4);
 
 /// Starts a router whose socket limit allows the watch of discovery and one client connection.
@@ -124,7 +124,10 @@
     let mut router = RouterProcess::spawn_command(command, &path);
     router.wait_until_listening();
     let (_, watch) = discovery.accept_request();
-    let clients = HalfRequests::start(&router.address, 150);
+    let clients = HeldConnections::start(
+        vec![router.address.parse().expect("an address")],
+        Holding::half_requests(150),
+    );
     std::thread::sleep(Duration::from_millis(300));
     drop(watch);
     let ended_at = Instant::now();
--- a/crates/cli/tests/loopback/serving.rs
+++ b/crates/cli/tests/loopback/serving.rs
@@ -1,6 +1,9 @@
 //! Tests of complete queries, from the first request to the exit of the router.
 
-use crate::rig::{Client, DataNode, LONG_DEADLINE, RouterProcess, frame, query, start_with_node};
+use crate::rig::{
+    Client, DataNode, LONG_DEADLINE, RouterProcess, config, discovery_with_node, frame, query,
+    start_with_node,
+};
 use rustix::process::Signal;
 use serde_json::{Value as Json, json};
 use std::time::Duration;
@@ -112,6 +115,12 @@
     assert!(values.eq((0..SHARDS).map(|shard| format!("\"q/{shard}\""))), "{body}");
 }
 
+/// Returns the remaining time that a frame with a shard request states.
+fn sent_deadline(frame: &str) -> Duration {
+    let deadline_ms = frame.split("d=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    Duration::from_millis(deadline_ms.expect("a deadline in the frame"))
+}
+
 #[test]
 fn deadline_of_a_pipelined_request_is_reduced_by_the_time_since_its_arrival() {
     let deadline = Duration::from_secs(4);
@@ -126,13 +135,47 @@
     connection.send(&frame(b'Y', "t1.0 OK 5 -\none"));
     assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
     let (_, text) = connection.read_frame();
-    let deadline_ms = text.split("d=").nth(1).and_then(|rest| rest.split(' ').next()?.parse::<u64>().ok());
-    let sent_deadline = Duration::from_millis(deadline_ms.expect("a deadline in the frame"));
+    let sent_deadline = sent_deadline(&text);
     assert!(sent_deadline <= deadline - response_delay, "deadline sent to the node: {sent_deadline:?}");
     connection.send(&frame(b'Y', "t2.0 OK 5 -\ntwo"));
     assert_eq!(client.read_response().0, "HTTP/1.1 200 OK");
 }
 
+/// Guards against a deadline that does not know how long its client waited to be accepted: nodes were given up to 280 ms
+/// more than the client had left (soak, seed 49).
+#[test]
+fn deadline_of_a_client_that_waited_to_be_accepted_is_reduced_by_that_time() {
+    let (deadline, wait) = (Duration::from_secs(4), Duration::from_secs(1));
+    let node = DataNode::new();
+    let discovery = discovery_with_node(node.address);
+    let mut config = config(discovery.address, deadline);
+    // Four connections: one for discovery, one for the node, and two for clients.
+    config["limits"]["sockets"] = 20.into();
+    let mut router = RouterProcess::start("waited-deadline", &config);
+    let mut first = router.connect();
+    first.send_query("pay", "t1", deadline);
+    let mut connection = node.accept();
+    assert!(connection.read_frame().1.starts_with("t1.0 "));
+    let mut second = router.connect();
+    second.send_query("pay", "t2", deadline);
+    assert!(connection.read_frame().1.starts_with("t2.0 "));
+    let mut waiting = router.connect();
+    waiting.send_query("pay", "t3", deadline);
+    std::thread::sleep(wait);
+    drop(first);
+    let text = loop {
+        let (_, text) = connection.read_frame();
+        if text.starts_with("t3.0 ") {
+            break text;
+        }
+    };
+    let sent_deadline = sent_deadline(&text);
+    assert!(sent_deadline <= deadline - wait, "deadline sent to the node: {sent_deadline:?}");
+    router.wait_for_logged_counter("client_connections_delayed", 1);
+    connection.send(&frame(b'Y', "t3.0 OK 5 -\nthree"));
+    assert_eq!(waiting.read_response().0, "HTTP/1.1 200 OK");
+}
+
 /// Guards against a value that is served cut off because the length of its frame is too small.
 #[test]
 fn response_whose_length_is_too_small_is_retried_or_fails_its_query() {
--- a/crates/query-router/src/event_loop/input.rs
+++ b/crates/query-router/src/event_loop/input.rs
@@ -32,8 +32,12 @@
             if socket.has_undelivered_input() {
                 return self.read_in_next_iteration(connection);
             }
+            let age = if is_client { socket.take_first_input_age() } else { 0 };
             match socket.read(&mut self.read_buffer[..buffer_length]) {
                 ReadOutcome::Received => {
+                    if age > 0 {
+                        self.router.step(self.clock.now(), Event::InputAged { connection, age });
+                    }
                     self.deliver_read(connection);
                     self.execute_effects();
                     if is_client && self.socket(connection).is_some_and(has_large_input) {
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -5,6 +5,7 @@
 mod effects;
 mod error;
 mod input;
+mod input_age;
 mod iteration;
 mod listener;
 mod monitor;
--- a/crates/query-router/src/event_loop/socket.rs
+++ b/crates/query-router/src/event_loop/socket.rs
@@ -1,8 +1,10 @@
 //! A non-blocking connection with its input and output buffers. Every operation returns the outcome of its system call;
 //! the caller handles it.
 
+use super::input_age::input_age;
 use super::system_error::{self, ErrorClass, MAX_IMMEDIATE_CALLS};
 use crate::io::Bytes;
+use balancer::Micros;
 use calloop::RegistrationToken;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
@@ -107,6 +109,8 @@
     write_failed: bool,
     /// Whether the last read was skipped because the input buffer was full.
     input_full: bool,
+    /// Whether nothing was read yet.
+    is_unread: bool,
     /// Received bytes.
     input: Vec<u8>,
     /// Number of bytes at the front of `input` that are consumed.
@@ -136,6 +140,7 @@
             state,
             write_failed: false,
             input_full: false,
+            is_unread: true,
             input: Vec::new(),
             input_start: 0,
             max_input_bytes,
@@ -242,6 +247,11 @@
         }
     }
 
+    /// Returns the time since the last bytes arrived if nothing was read on the connection yet, else 0.
+    pub(super) fn take_first_input_age(&mut self) -> Micros {
+        if std::mem::take(&mut self.is_unread) { input_age(&self.stream) } else { 0 }
+    }
+
     /// Appends received bytes to the input buffer. It grows by little more than what is needed, since many buffers may be
     /// filled at the same time.
     fn add_input(&mut self, bytes: &[u8]) {
--- a/crates/query-router/src/io.rs
+++ b/crates/query-router/src/io.rs
@@ -62,6 +62,13 @@
     ConnectDelayed(ConnectionId),
     /// A connection requested by [`Effect::Connect`] is established.
     Established(ConnectionId),
+    /// The bytes that are reported next have waited in the system.
+    InputAged {
+        /// The connection of a client.
+        connection: ConnectionId,
+        /// The time since the last of them arrived.
+        age: Micros,
+    },
     /// Bytes were received on a connection.
     Received {
         /// The connection on which bytes arrived.
--- a/crates/query-router/src/router/clients/mod.rs
+++ b/crates/query-router/src/router/clients/mod.rs
@@ -189,11 +189,18 @@
         }
     }
 
+    /// Handles that the bytes that are reported next have waited in the system for this time.
+    pub fn input_aged(&self, context: &mut Context, id: ConnectionId, age: Micros) {
+        context.connections.client_mut(id).input_age = age;
+    }
+
     /// Records the number of unconsumed bytes of a client and their time of arrival.
     fn record_received(&mut self, context: &mut Context, id: ConnectionId, length: usize) {
         self.set_unconsumed(context, id, length);
         let now = context.now;
-        context.connections.client_mut(id).arrivals.record(now, length);
+        let client = context.connections.client_mut(id);
+        let age = std::mem::take(&mut client.input_age);
+        client.arrivals.record(now - age, length);
     }
 
     /// Keeps bytes that a client sends before the response to its last request is written, within limits. Above them,
--- a/crates/query-router/src/router/connection/client.rs
+++ b/crates/query-router/src/router/connection/client.rs
@@ -74,6 +74,8 @@
     pub progress: RequestProgress,
     /// The arrival times of the unconsumed bytes.
     pub arrivals: ArrivalTimes,
+    /// The time for which the bytes that are reported next have waited in the system.
+    pub input_age: Micros,
     /// The time since which the rest of an incomplete request is awaited. Meaningful only in
     /// [`ClientState::ReceivingRequest`].
     pub receiving_since: Micros,
@@ -97,6 +99,7 @@
             unconsumed_bytes: 0,
             progress: RequestProgress::default(),
             arrivals: ArrivalTimes::default(),
+            input_age: 0,
             receiving_since: now,
             stalls_at: Micros::MAX,
         }
--- a/crates/query-router/src/router/descriptor_shares.rs
+++ b/crates/query-router/src/router/descriptor_shares.rs
@@ -64,9 +64,9 @@
         self.max_connections - self.discovery - self.reserve
     }
 
-    /// Returns the most connections to data nodes.
+    /// Returns the most connections to data nodes, which are as many as those of clients.
     pub fn max_nodes(self) -> usize {
-        self.max_connections - self.discovery - self.reserve
+        self.max_clients()
     }
 
     /// Returns whether another connection of this kind may be opened beside `open` ones.
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -117,6 +117,7 @@
             Event::ClientConnected => self.state.clients.connected(&mut self.state.context),
             Event::ConnectDelayed(id) => node_connections::connect_delayed(&mut self.state.context, id),
             Event::Established(id) => self.established(id),
+            Event::InputAged { connection: id, age } => self.input_aged(id, age),
             Event::Received { connection: id, bytes } => self.received(id, bytes),
             Event::Buffered { connection: id, length } => self.buffered(id, length),
             Event::ReceivedUnexpected { connection: id, bytes } => self.received_unexpected(id, bytes),
@@ -217,6 +218,13 @@
         }
     }
 
+    fn input_aged(&mut self, id: ConnectionId, age: Micros) {
+        let State { context, clients, .. } = &mut self.state;
+        if context.connections.kind(id) == Some(ConnectionKind::Client) {
+            clients.input_aged(context, id, age);
+        }
+    }
+
     fn buffered(&mut self, id: ConnectionId, length: usize) {
         let State { context, clients, .. } = &mut self.state;
         if context.connections.kind(id) == Some(ConnectionKind::Client) {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,10 +1,9 @@
 //! All processes of a run and the actions on them. Records the times of the actions that the checks refer to.
 
 use crate::clock::{Micros, now, wall_clock_ms};
-use crate::config::router_config;
+use crate::config::{MAX_DESCRIPTORS, router_config};
 use crate::discovery::{Discovery, DiscoveryMode};
 use crate::floods::kind::FloodKind;
-use crate::held_connections::{HeldConnections, Holding};
 use crate::node::Behaviour;
 use crate::proxy::Proxy;
 use crate::recording_process::{RecordingProcess, Records};
@@ -14,6 +13,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use test_servers::{HeldConnections, Holding};
 
 /// The run of every seed that is a multiple of this number has idle connections.
 const IDLE_CONNECTIONS_EVERY: u64 = 3;
@@ -23,6 +24,15 @@
 /// Percentage of such responses in those runs.
 const ALTERED_RESPONSES_PERCENT: u32 = 4;
 
+/// As many connections to each router as it has descriptors, on which nothing is sent.
+const IDLE_CONNECTIONS: Holding = Holding {
+    sent: b"",
+    connections: MAX_DESCRIPTORS,
+    opened_at_once: 1,
+    interval: Duration::from_millis(20),
+};
+/// Number of connections of a crowd, more than a router has descriptors.
+const CROWD_CONNECTIONS: usize = MAX_DESCRIPTORS * 3 / 2;
 /// Number of connections of a flood.
 const FLOOD_CONNECTIONS: usize = 4;
 
@@ -302,14 +312,14 @@
     fn start_idle_connections(&mut self) {
         if self.has_idle_connections() {
             let addresses = self.routers.iter().map(|router| router.address).collect();
-            self.idle_connections = Some(HeldConnections::start(addresses, Holding::SILENT));
+            self.idle_connections = Some(HeldConnections::start(addresses, IDLE_CONNECTIONS));
         }
     }
 
     /// Lets clients with half a request use up the descriptors of a router.
     pub fn start_crowd(&mut self, router: usize) {
         let address = self.routers[router].address;
-        self.crowd = Some(HeldConnections::start(vec![address], Holding::HALF_REQUESTS));
+        self.crowd = Some(HeldConnections::start(vec![address], Holding::half_requests(CROWD_CONNECTIONS)));
     }
 
     /// Ends these clients.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,7 +11,6 @@
 mod config;
 mod discovery;
 mod floods;
-mod held_connections;
 mod node;
 mod proxy;
 mod record;
--- a/crates/soak/src/held_connections.rs
+++ b/crates/test-servers/src/held_connections.rs
@@ -1,7 +1,5 @@
-//! Clients that connect to routers and hold their connections without a complete request.
+//! Clients that connect to servers and hold their connections without a complete request.
 
-use crate::clock::sleep_ms;
-use crate::config::MAX_DESCRIPTORS;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -11,33 +9,34 @@
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// The half of a request.
+/// Interval at which clients with half a request replace connections.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(5);
+/// The first half of a request.
 const HALF_REQUEST: &[u8] = b"POST /api HTTP/1.1\r\nX-Qos: look\r\nContent-Length: 500\r\n\r\n{\"segments\"";
 
-/// What clients do with the connections that they hold.
+/// How clients hold connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Holding {
-    /// What they send at the start of each connection.
-    sent: &'static [u8],
-    /// How many connections they hold to each router.
-    connections: usize,
-    /// How many of them they open to each router at a time.
-    opened_at_once: usize,
+    /// The bytes that they send at the start of each connection.
+    pub sent: &'static [u8],
+    /// The number of connections that they hold to each server.
+    pub connections: usize,
+    /// The most connections that they open to each server at a time.
+    pub opened_at_once: usize,
     /// The interval between these times.
-    interval_ms: u64,
+    pub interval: Duration,
 }
 
 impl Holding {
-    /// Nothing is sent, on as many connections as a router has descriptors.
-    pub const SILENT: Holding =
-        Holding { sent: b"", connections: MAX_DESCRIPTORS, opened_at_once: 1, interval_ms: 20 };
-    /// Half a request is sent, on more connections than a router has descriptors. Closed ones are replaced at once.
-    pub const HALF_REQUESTS: Holding = Holding {
-        sent: HALF_REQUEST,
-        connections: MAX_DESCRIPTORS * 3 / 2,
-        opened_at_once: MAX_DESCRIPTORS * 3 / 2,
-        interval_ms: 5,
-    };
+    /// Half a request is sent on this number of connections, each of which is replaced at once when it is closed.
+    pub const fn half_requests(connections: usize) -> Holding {
+        Holding {
+            sent: HALF_REQUEST,
+            connections,
+            opened_at_once: connections,
+            interval: REPLACEMENT_INTERVAL,
+        }
+    }
 }
 
 /// Connections that are held, and closed when the value is dropped.
@@ -47,18 +46,18 @@
 }
 
 impl HeldConnections {
-    /// Opens connections to each router, and replaces those that it closes or on which it responds.
-    pub fn start(routers: Vec<SocketAddr>, holding: Holding) -> HeldConnections {
+    /// Opens connections to each server, and replaces those that it closes or on which it responds.
+    pub fn start(servers: Vec<SocketAddr>, holding: Holding) -> HeldConnections {
         let has_ended = Arc::new(AtomicBool::new(false));
         let flag = has_ended.clone();
         let thread = std::thread::spawn(move || {
-            let mut connections: Vec<Vec<TcpStream>> = routers.iter().map(|_| Vec::new()).collect();
+            let mut connections: Vec<Vec<TcpStream>> = servers.iter().map(|_| Vec::new()).collect();
             while !flag.load(Ordering::SeqCst) {
-                for (address, open) in routers.iter().zip(&mut connections) {
+                for (address, open) in servers.iter().zip(&mut connections) {
                     open.retain(is_held);
                     add_connections(address, open, holding);
                 }
-                sleep_ms(holding.interval_ms);
+                std::thread::sleep(holding.interval);
             }
         });
         HeldConnections { has_ended, thread: Some(thread) }
@@ -84,7 +83,7 @@
     }
 }
 
-/// Returns whether the connection is open and the router has sent nothing on it.
+/// Returns whether the connection is open and the server has sent nothing on it.
 fn is_held(stream: &TcpStream) -> bool {
     let result = stream.peek(&mut [0; 1]);
     result.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod data_node;
 mod discovery;
+mod held_connections;
 mod listener;
 mod load_reporter;
 mod proxy;
@@ -17,6 +18,7 @@
 
 pub use data_node::data_node;
 pub use discovery::{Discovery, WatchPace, member};
+pub use held_connections::{HeldConnections, Holding};
 pub use listener::listen;
 pub use load_reporter::{EndpointLoad, LoadReportStream};
 pub use proxy::{Proxy, request_unknown_type};
