Buffers and ids of the router's state machine are Arc, so that it may change threads

Preparation: the control plane, whose runtime moves tasks between threads, is to run the router's client of discovery. Only the type of the reference count changes.

--- a/crates/query-router/src/io.rs
+++ b/crates/query-router/src/io.rs
@@ -3,7 +3,7 @@
 
 use balancer::Micros;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Identifies a connection: a small index that the state machine assigns and may reuse once the connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -49,7 +49,7 @@
 }
 
 /// A buffer to write, reference-counted so that several connections can share it.
-pub type Bytes = Rc<[u8]>;
+pub type Bytes = Arc<[u8]>;
 
 /// An event that the event loop reports to the state machine.
 #[derive(Debug)]
--- a/crates/query-router/src/router/connection/node.rs
+++ b/crates/query-router/src/router/connection/node.rs
@@ -5,7 +5,7 @@
 use balancer::{AttemptId, Micros, NodeId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Whether a node connection is established, and since when.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -241,7 +241,7 @@
     /// is not. A connection on which no frame has arrived since then is not reused, since it may have failed without
     /// notice although its node is healthy.
     pub fn cancel(
-        &mut self, attempt: AttemptId, request_id: &Rc<str>, max_cancelled: usize,
+        &mut self, attempt: AttemptId, request_id: &Arc<str>, max_cancelled: usize,
         unanswered_since: Option<Micros>,
     ) -> WriteProgress {
         let Some(sent) = self.responses.find(attempt) else {
--- a/crates/query-router/src/router/connection/outgoing_queue.rs
+++ b/crates/query-router/src/router/connection/outgoing_queue.rs
@@ -2,7 +2,7 @@
 
 use balancer::AttemptId;
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The kind of a health check.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,7 +19,7 @@
     /// A batch of attempts.
     Batch(Vec<AttemptId>),
     /// A cancellation of the shard request with this id.
-    Cancellation(Rc<str>),
+    Cancellation(Arc<str>),
     /// A health check.
     HealthCheck(HealthCheckKind),
 }
--- a/crates/query-router/src/router/connection/response_tracker.rs
+++ b/crates/query-router/src/router/connection/response_tracker.rs
@@ -3,7 +3,7 @@
 use crate::protocol::frames::FrameEnd;
 use balancer::AttemptId;
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The length of the start of a malformed or partial frame that is searched for the id of a shard request.
 const ID_SEARCH_BYTES: usize = 256;
@@ -12,7 +12,7 @@
 #[derive(Debug)]
 pub struct InFlight {
     /// The shard request's id on the wire.
-    pub id: Rc<str>,
+    pub id: Arc<str>,
     /// The attempt that was sent.
     pub attempt: AttemptId,
     /// The offset of the end of the attempt's frame in all bytes written on the connection.
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct UnconfirmedResponse {
     /// The shard request's id on the wire.
-    pub request_id: Rc<str>,
+    pub request_id: Arc<str>,
     /// The attempt that was answered.
     pub attempt: AttemptId,
 }
@@ -45,9 +45,9 @@
     /// The attempts in flight, oldest first.
     in_flight: Vec<InFlight>,
     /// The ids of the shard requests last cancelled on the connection, to which a response may still arrive.
-    cancelled: VecDeque<Rc<str>>,
+    cancelled: VecDeque<Arc<str>>,
     /// The id of the shard request to which the last response on the connection belongs.
-    last_answered: Option<Rc<str>>,
+    last_answered: Option<Arc<str>>,
     /// The last response, if its end is unknown since no byte has followed it.
     unconfirmed: Option<UnconfirmedResponse>,
 }
--- a/crates/query-router/src/router/node_connections/selection.rs
+++ b/crates/query-router/src/router/node_connections/selection.rs
@@ -6,7 +6,7 @@
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use balancer::{AttemptId, Micros, NodeId};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The suitability of a connection for an attempt. Smaller values are preferred.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,7 +38,7 @@
 /// batches are lost with one connection. Responses carry no attempt number, so no shard request is sent on a connection
 /// on which a response to an earlier attempt at it may still arrive.
 pub fn select_connection(
-    context: &mut Context, queries: &QueryTable, node: NodeId, ids: &[Rc<str>],
+    context: &mut Context, queries: &QueryTable, node: NodeId, ids: &[Arc<str>],
 ) -> Option<ConnectionId> {
     let best = best_connection(context, queries, node, ids);
     if let Some(candidate) = best
@@ -102,7 +102,7 @@
 
 /// Returns the most suitable existing connection for shard requests with these ids.
 fn best_connection(
-    context: &Context, queries: &QueryTable, node: NodeId, ids: &[Rc<str>],
+    context: &Context, queries: &QueryTable, node: NodeId, ids: &[Arc<str>],
 ) -> Option<Candidate> {
     let candidates = context.endpoints[node].connections.iter().filter_map(|&id| {
         let connection = context.connections.node(id)?;
@@ -112,14 +112,14 @@
 }
 
 /// Returns whether shard requests with these ids may be sent on a connection.
-fn can_carry(context: &Context, queries: &QueryTable, connection: &NodeConnection, ids: &[Rc<str>]) -> bool {
+fn can_carry(context: &Context, queries: &QueryTable, connection: &NodeConnection, ids: &[Arc<str>]) -> bool {
     let idle_since = connection.idle_since();
     // Responses would be appended to an incomplete frame and could not be parsed.
     let has_stray_partial_frame = idle_since.is_some() && connection.partial_frame().is_some();
-    let is_queued = |id: &Rc<str>| {
+    let is_queued = |id: &Arc<str>| {
         connection.queue().attempts().any(|attempt| queries.shard_request(attempt.shard_request).id == *id)
     };
-    let carries = |id: &Rc<str>| connection.responses.may_receive_response_to(id) || is_queued(id);
+    let carries = |id: &Arc<str>| connection.responses.may_receive_response_to(id) || is_queued(id);
     !has_stray_partial_frame
         && context.endpoints[connection.node].address == Some(connection.address)
         && connection.is_reusable()
--- a/crates/query-router/src/router/node_connections/write.rs
+++ b/crates/query-router/src/router/node_connections/write.rs
@@ -9,7 +9,7 @@
 use crate::router::query_table::QueryTable;
 use crate::router::rules::{self, CheckedAction};
 use balancer::{AttemptId, AttemptOutcome, Micros};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Passes the queued frames of a connection to the event loop, unless earlier ones are still being written.
 pub fn write(context: &mut Context, queries: &mut QueryTable, id: ConnectionId) {
@@ -45,7 +45,7 @@
     buffers: &mut Vec<Bytes>,
 ) {
     let head_index = buffers.len();
-    buffers.push(Rc::from([]));
+    buffers.push(Arc::from([]));
     let kind = match &frame {
         OutgoingFrame::Batch(attempts) => {
             log_sent(context, queries, id, attempts);
--- a/crates/query-router/src/router/query_table.rs
+++ b/crates/query-router/src/router/query_table.rs
@@ -13,12 +13,12 @@
 };
 use slab::Slab;
 use std::collections::HashSet;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A query that has not been released.
 #[derive(Debug)]
 pub struct Query {
-    id: Rc<str>,
+    id: Arc<str>,
     /// The connection of the client that waits for the response; `None` once the query has ended.
     client: Option<ConnectionId>,
     /// The time by which the client needs the response.
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub struct ShardRequest {
     /// The id on the wire.
-    pub id: Rc<str>,
+    pub id: Arc<str>,
     /// The query to which the shard request belongs.
     pub query: QueryId,
     /// The index of the shard.
@@ -139,7 +139,7 @@
 pub struct QueryTable {
     pub(super) queries: Slab<Query>,
     pub(super) shard_requests: Slab<ShardRequest>,
-    ids: HashSet<Rc<str>>,
+    ids: HashSet<Arc<str>>,
     executed_ids: ExecutedIds,
     /// The bytes of all texts and values.
     held_bytes: usize,
@@ -178,7 +178,7 @@
     /// Adds a query without shard requests.
     pub fn add_query(&mut self, query: NewQuery) -> QueryId {
         let NewQuery { id, client, deadline, idempotency, text } = query;
-        let (id, text): (Rc<str>, Bytes) = (id.into(), text.into_bytes().into());
+        let (id, text): (Arc<str>, Bytes) = (id.into(), text.into_bytes().into());
         self.ids.insert(id.clone());
         self.held_bytes += text.len();
         self.open_count += 1;
@@ -266,7 +266,7 @@
     }
 
     /// Returns the ids on the wire of the attempts' shard requests, in the order of the attempts.
-    pub fn ids(&self, attempts: &[AttemptId]) -> Vec<Rc<str>> {
+    pub fn ids(&self, attempts: &[AttemptId]) -> Vec<Arc<str>> {
         attempts.iter().map(|attempt| self.shard_request(attempt.shard_request).id.clone()).collect()
     }
 
@@ -293,7 +293,7 @@
         let attempt = response.attempt;
         let Some(entry) = self.shard_requests.get_mut(attempt.shard_request.0) else { return false };
         // The index may belong to a later shard request.
-        let is_released = !Rc::ptr_eq(&entry.id, &response.request_id);
+        let is_released = !Arc::ptr_eq(&entry.id, &response.request_id);
         if is_released || self.queries[entry.query.0].has_ended() {
             return false;
         }
--- a/crates/query-router/src/router/tests/dispatch.rs
+++ b/crates/query-router/src/router/tests/dispatch.rs
@@ -152,7 +152,7 @@
 fn batches_share_a_connection_only_if_all_connections_for_the_node_are_open() {
     let mut rig = Rig::new();
     rig.router.state.context.limits.max_connections = 9;
-    let ids: Vec<std::rc::Rc<str>> = vec!["t1.0".into()];
+    let ids: Vec<std::sync::Arc<str>> = vec!["t1.0".into()];
     let connections: Vec<ConnectionId> = (0..4)
         .map(|_| {
             let connection = rig.select_connection(0, &ids).expect("a connection to node 0");
--- a/crates/query-router/src/router/tests/rig.rs
+++ b/crates/query-router/src/router/tests/rig.rs
@@ -10,7 +10,7 @@
 use balancer::{EndpointUpdate, Micros, NodeId};
 use serde_json::Value as Json;
 use std::collections::{BTreeMap, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The time at which each test starts.
 pub const START: Micros = 1_700_000_000_000_000;
@@ -280,7 +280,7 @@
     }
 
     /// Selects or opens a node connection for shard requests with these ids.
-    pub fn select_connection(&mut self, node: usize, ids: &[Rc<str>]) -> Option<ConnectionId> {
+    pub fn select_connection(&mut self, node: usize, ids: &[Arc<str>]) -> Option<ConnectionId> {
         let State { context, queries, .. } = &mut self.router.state;
         node_connections::select_connection(context, queries, NodeId(node), ids)
     }
