Where lists are pushed, a new process waits for the list of discovery before it serves

Cause: `Router::new` gave that list to the balancer as `Cached`, which is used like any other, and `/-/ready` asked for a shutdown only.

Change: the list from before the start is `Provisional` where lists are pushed. The first watch asks for what came after revision 0, so that the list comes at once whatever revision the process had; a first message that is no full list (a heartbeat, a change) leads to a poll.

Two older tests of watches that work now begin with a full list, since a lone heartbeat leads to a poll.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -86,14 +86,18 @@
         let Some(update) = self.discovery.update.take() else { return };
         match update {
             EndpointUpdate::Failed => self.delay_next_request(now, actions),
-            EndpointUpdate::Cached => {}
+            EndpointUpdate::Provisional => self.discovery.provisional_since = Some(now),
+            EndpointUpdate::Cached => self.discovery.provisional_since = None,
             EndpointUpdate::Full | EndpointUpdate::Incremental => {
                 if self.discovery.record_update() {
                     actions.log("discovery reachable again");
                 }
             }
         }
-        if matches!(update, EndpointUpdate::Full | EndpointUpdate::Cached) {
+        if update == EndpointUpdate::Full {
+            self.replace_provisional_list(now, actions);
+        }
+        if update != EndpointUpdate::Failed && update != EndpointUpdate::Incremental {
             self.nodes.remove_unlisted(self.discovery.update_number);
         }
         self.shards.rebuild(&self.nodes);
--- a/crates/balancer/src/events.rs
+++ b/crates/balancer/src/events.rs
@@ -42,6 +42,10 @@
     Full,
     /// The update is the endpoint list that was cached before the start of the process; it may be outdated.
     Cached,
+    /// The update is the endpoint list that was cached before the start of the process, and the front end is requesting
+    /// the full list. Nodes may have been withdrawn since, so no attempt is sent until the full list has arrived or the
+    /// wait for it is over.
+    Provisional,
     /// A poll failed or the watch was lost; the update contains no endpoints.
     Failed,
 }
--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -68,13 +68,20 @@
 
 impl Balancer {
     /// The stages in the order in which they run.
-    const STAGES: [Stage; 5] =
-        [Self::complete, Self::expire, Self::wait_for_canary, Self::admit, Self::retry_and_hedge];
+    const STAGES: [Stage; 6] = [
+        Self::complete,
+        Self::expire,
+        Self::wait_for_endpoint_list,
+        Self::wait_for_canary,
+        Self::admit,
+        Self::retry_and_hedge,
+    ];
 
     /// Runs each open query through the stages, then releases unused identifiers and schedules the next
     /// decision.
     pub(crate) fn decide_all(&mut self, now: Micros, actions: &mut dyn Actions) {
         self.update_canary_mode(now, actions);
+        self.end_endpoint_list_wait(now, actions);
         self.now = now;
         self.refresh_statistics(now);
         self.admission.reservations.fill(0);
--- a/crates/balancer/src/policy/tests/discovery.rs
+++ b/crates/balancer/src/policy/tests/discovery.rs
@@ -98,3 +98,56 @@
         now += delay;
     }
 }
+
+const NODES: [(usize, EndpointState, Micros); 2] =
+    [(0, EndpointState::Ready, 0), (1, EndpointState::Ready, 0)];
+
+/// Guards against work for nodes that were withdrawn while the router was away (`review/9`).
+#[test]
+fn a_provisional_list_is_not_used_before_the_full_list_has_arrived() {
+    let mut balancer = balancer(Idempotency::Idempotent);
+    update_endpoints(&mut balancer, EndpointUpdate::Provisional, &NODES);
+    arrive(&mut balancer, 10, 1);
+    for update in [EndpointUpdate::Failed, EndpointUpdate::Incremental] {
+        update_endpoints(&mut balancer, update, &[]);
+        assert!(decide(&mut balancer, NOW).is_empty() && balancer.awaits_endpoint_list(), "{update:?}");
+    }
+    update_endpoints(&mut balancer, EndpointUpdate::Full, &NODES[1..]);
+    assert!(!balancer.awaits_endpoint_list());
+    assert_eq!(decide(&mut balancer, NOW)[..1], ["send 11 1"]);
+}
+
+#[test]
+fn a_query_that_waits_for_the_endpoint_list_is_rejected_in_time() {
+    let mut balancer = balancer(Idempotency::NonIdempotent);
+    update_endpoints(&mut balancer, EndpointUpdate::Provisional, &NODES);
+    arrive(&mut balancer, 10, 1);
+    assert!(decide(&mut balancer, NOW + 900_000).is_empty());
+    assert_eq!(decide(&mut balancer, NOW + 1_000_000), ["10 Rejected(0)"]);
+}
+
+/// Guards against a router that stays out of service for as long as discovery is down, and against one that is ready later
+/// than the 10 s within which the platform expects it.
+#[test]
+fn a_provisional_list_is_used_if_the_full_list_does_not_arrive_in_time() {
+    const MAX_TIME_TO_READY: Micros = 10_000_000;
+    let mut balancer = balancer(Idempotency::Idempotent);
+    update_endpoints(&mut balancer, EndpointUpdate::Provisional, &NODES);
+    assert!(decide(&mut balancer, NOW + 6_000_000).is_empty() && balancer.awaits_endpoint_list());
+    let timer_at = balancer.discovery.timer_at.expect("a timer for the end of the wait");
+    assert!(timer_at < NOW + MAX_TIME_TO_READY);
+    decide(&mut balancer, timer_at);
+    assert!(!balancer.awaits_endpoint_list());
+    balancer.query_arrived(timer_at, &query(10, timer_at + 3_000_000, 1));
+    balancer.shard_request_arrived(timer_at, &shard_request(11, 10, 0, 1.0));
+    assert_eq!(decide(&mut balancer, timer_at)[..1], ["send 11 0"]);
+}
+
+#[test]
+fn a_cached_list_is_used_at_once() {
+    let mut balancer = balancer(Idempotency::Idempotent);
+    update_endpoints(&mut balancer, EndpointUpdate::Provisional, &NODES);
+    update_endpoints(&mut balancer, EndpointUpdate::Cached, &NODES);
+    arrive(&mut balancer, 10, 1);
+    assert_eq!(decide(&mut balancer, NOW)[..1], ["send 11 0"]);
+}
--- a/crates/balancer/src/state/discovery_state.rs
+++ b/crates/balancer/src/state/discovery_state.rs
@@ -19,6 +19,9 @@
     pub failing_since: Option<Micros>,
     /// Time of the last change of discovery's address; `None` if there was none.
     pub address_changed_at: Option<Micros>,
+    /// Time of the provisional endpoint list; `None` if there was none, the full list has replaced it, or the wait for
+    /// the full list is over.
+    pub provisional_since: Option<Micros>,
     /// Expiry time of the timer, if it is set.
     pub timer_at: Option<Micros>,
 }
--- a/crates/query-router/src/router/clients/requests.rs
+++ b/crates/query-router/src/router/clients/requests.rs
@@ -95,6 +95,9 @@
         }
         match path {
             "/-/ready" if context.shutdown.has_begun() => self.replies.reply_line(context, id, 503, "ending"),
+            "/-/ready" if context.awaits_endpoint_list => {
+                self.replies.reply_line(context, id, 503, "waiting for the endpoint list");
+            }
             "/-/counters" => {
                 let lines = context.counters.lines();
                 self.replies.reply(context, id, 200, "text/plain", lines.into_bytes(), None);
--- a/crates/query-router/src/router/context.rs
+++ b/crates/query-router/src/router/context.rs
@@ -73,6 +73,8 @@
     pub connections: ConnectionTable,
     /// The endpoints that discovery has listed.
     pub endpoints: Endpoints,
+    /// Whether queries wait for the endpoint list, so that the router is not ready.
+    pub awaits_endpoint_list: bool,
     /// The phase of a graceful shutdown.
     pub shutdown: Shutdown,
     /// The bytes of all responses that are being written to clients.
@@ -95,6 +97,7 @@
             timers: Timers::default(),
             connections: ConnectionTable::default(),
             endpoints: Endpoints::default(),
+            awaits_endpoint_list: false,
             shutdown: Shutdown::default(),
             unread_response_bytes: 0,
             limits: Limits::new(config),
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -29,13 +29,15 @@
 pub struct Discovery {
     address: SocketAddr,
     mode: DiscoveryMode,
-    /// The revision after which a watch requests updates: that of the last update that was applied; 0 after a change of
-    /// the address.
+    /// The revision after which a watch requests updates: that of the last update that was applied; 0 before the first
+    /// one that is not provisional, and after a change of the address.
     revision: u64,
     /// The highest revision that discovery has sent; 0 before the first, and after lists with older ones are accepted.
     newest_revision: u64,
     /// The time at which lists with an older revision are accepted, if such a list came last.
     accept_older_at: Option<Micros>,
+    /// Whether the endpoint list is provisional: it is from before the start, and no full list has arrived.
+    is_provisional: bool,
     watches: Watches,
     /// The incomplete update that is in use, if there is one.
     partial_list: Option<PartialList>,
@@ -57,6 +59,7 @@
             revision: 0,
             newest_revision: 0,
             accept_older_at: None,
+            is_provisional: false,
             watches: Watches::new(max_connections),
             partial_list: None,
             backoff: WatchBackoff::new(config),
@@ -65,6 +68,16 @@
         }
     }
 
+    /// Returns how the endpoint list from before the start is to be used. Where endpoint lists are pushed, the platform
+    /// assumes that a new process knows what discovery knows, so that list is provisional; where they are polled, it may
+    /// be used until the first poll is due.
+    pub fn initial_update(&self) -> EndpointUpdate {
+        match self.mode {
+            DiscoveryMode::Pushed => EndpointUpdate::Provisional,
+            DiscoveryMode::Polled => EndpointUpdate::Cached,
+        }
+    }
+
     /// Starts a watch that lasts for as long as the router runs, if endpoint lists are pushed.
     pub fn start(&mut self, context: &mut Context) {
         if self.mode == DiscoveryMode::Pushed {
@@ -204,6 +217,7 @@
 
     fn accept_heartbeat(&mut self, context: &mut Context, id: ConnectionId) -> Option<EndpointList> {
         let is_first = self.record_message(context, id);
+        self.poll_if_provisional(context);
         is_first.then_some(EndpointList { update: EndpointUpdate::Incremental, json: Json::Null })
     }
 
@@ -224,9 +238,21 @@
             return None;
         }
         request.set_revision(revision);
+        if update.list.update != EndpointUpdate::Full {
+            self.poll_if_provisional(context);
+        }
         Some(update.list)
     }
 
+    /// Polls the full list, unless that is in progress, while the endpoint list is provisional. The watch has requested
+    /// the full list as well; a response that starts with anything else tells nothing about the nodes that it does not
+    /// name.
+    fn poll_if_provisional(&mut self, context: &mut Context) {
+        if self.is_provisional && context.connections.polls().next().is_none() {
+            self.poll(context);
+        }
+    }
+
     /// Records a complete message of a watch. Returns whether it is the first one of this watch.
     fn record_message(&mut self, context: &mut Context, id: ConnectionId) -> bool {
         let is_first = context.connections.discovery_mut(id).record_message(context.now);
--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -25,7 +25,14 @@
     /// Stores an endpoint list or update. Returns its valid entries for the balancer.
     pub fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
         let revision = list.json["revision"].as_u64();
-        self.revision = revision.unwrap_or(self.revision);
+        if list.update != EndpointUpdate::Provisional {
+            self.revision = revision.unwrap_or(self.revision);
+        }
+        match list.update {
+            EndpointUpdate::Provisional => self.is_provisional = true,
+            EndpointUpdate::Full | EndpointUpdate::Cached => self.is_provisional = false,
+            EndpointUpdate::Incremental | EndpointUpdate::Failed => {}
+        }
         let order = self.record_revision(context, list);
         context.endpoints.start_update();
         match list.update {
@@ -37,7 +44,7 @@
         if list.update != EndpointUpdate::Incremental {
             context.endpoints.finish_full_update(context.now);
         }
-        if list.update != EndpointUpdate::Cached {
+        if !is_from_before_start(list.update) {
             context.endpoints.finish_received_update(context.now);
         }
         if let Some(revision) = revision {
@@ -46,7 +53,8 @@
         stored
     }
 
-    /// Compares the revision of a list with the newest one from discovery, and records it if it is not older.
+    /// Compares the revision of a list with the newest one, and records it if it is not older. The revision of a cached
+    /// list does not count: where lists are polled, the first one that discovery sends is accepted.
     fn record_revision(&mut self, context: &mut Context, list: &EndpointList) -> RevisionOrder {
         let revision = list.json["revision"].as_u64();
         let Some(revision) = revision.filter(|_| list.update != EndpointUpdate::Cached) else {
@@ -131,13 +139,18 @@
     withdrawn
 }
 
+/// Returns whether a list with this kind of update is from before the start of the process.
+fn is_from_before_start(update: EndpointUpdate) -> bool {
+    matches!(update, EndpointUpdate::Cached | EndpointUpdate::Provisional)
+}
+
 /// Records and logs that an endpoint list or update was applied.
 fn record_applied(context: &mut Context, revision: u64, update: EndpointUpdate, entries: usize) {
     let previous_revision = context.endpoints.revision();
     context.endpoints.set_revision(revision);
     context.counters.endpoint_list_revision = revision;
     // The list of the configuration is no message of discovery, and is applied before the router has started.
-    if update == EndpointUpdate::Cached {
+    if is_from_before_start(update) {
         return;
     }
     let ready = context.endpoints.ready_count();
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -38,7 +38,7 @@
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::io::{BufferSizes, ConnectionId, Effect, Event, IterationReport};
-use balancer::{AttemptOutcome, Balancer, EndpointUpdate, Events, Micros};
+use balancer::{AttemptOutcome, Balancer, Events, Micros};
 use connection::ConnectionKind;
 use connection::discovery::{BodyProgress, EndpointList};
 use discovery::RequestOutcome;
@@ -61,8 +61,8 @@
 }
 
 impl Router {
-    /// Creates a router that starts at `now`. Applies the cached endpoint list, and starts a watch if endpoint lists
-    /// are pushed.
+    /// Creates a router that starts at `now`. Applies the cached endpoint list, which is provisional and leads to a watch
+    /// if endpoint lists are pushed.
     pub fn new(config: &Config, now: Micros) -> Router {
         let mut router = Router {
             balancer: Balancer::new(config.seed, config.settings.clone()),
@@ -72,7 +72,8 @@
             last_decision_at: 0,
             wake_at: None,
         };
-        let cached = EndpointList { update: EndpointUpdate::Cached, json: config.cached_endpoints.clone() };
+        let update = router.state.discovery.initial_update();
+        let cached = EndpointList { update, json: config.cached_endpoints.clone() };
         router.apply_endpoint_list(&cached);
         router.state.discovery.start(&mut router.state.context);
         router
@@ -158,6 +159,7 @@
             self.last_decision_at = now;
             self.state.context.counters.decisions += 1;
             self.balancer.decide(now, &mut self.state);
+            self.update_readiness();
         }
         let State { context, queries, clients, dispatcher, .. } = &mut self.state;
         dispatcher.send_batches(context, queries);
@@ -184,6 +186,11 @@
         context.shutdown.is_over(context.now) && queries.open_count() == 0
     }
 
+    /// Records whether the balancer serves queries, for health checks by the platform.
+    fn update_readiness(&mut self) {
+        self.state.context.awaits_endpoint_list = self.balancer.awaits_endpoint_list();
+    }
+
     /// Requests [`Event::TimerExpired`] for the earliest timer, or for the next decision if one is needed and comes
     /// first.
     fn update_wake_time(&mut self) {
--- a/crates/query-router/src/router/reports.rs
+++ b/crates/query-router/src/router/reports.rs
@@ -105,6 +105,7 @@
             dispatcher.apply_endpoint(context, queries, NodeId(node));
         }
         self.balancer.endpoint_update_finished(now, &mut self.state);
+        self.update_readiness();
         self.decision_needed = true;
     }
 }
--- a/crates/query-router/src/router/tests/discovery.rs
+++ b/crates/query-router/src/router/tests/discovery.rs
@@ -1,5 +1,6 @@
 //! Tests of watches and polls of the endpoint list: parsing, restarts, and responses that are invalid.
 
+use super::stale_lists::{entry, list, response};
 use super::*;
 use balancer::Micros;
 
@@ -93,6 +94,11 @@
     Rig::with_config(&config)
 }
 
+/// Returns a response to the first watch of a router: the full list. Anything else would lead to a poll.
+fn first_list() -> String {
+    response(&list(41, true, &[entry("a", "ready"), entry("b", "ready")]))
+}
+
 #[test]
 fn a_retry_timer_of_an_earlier_watch_does_not_end_a_working_watch() {
     let mut rig = rig_with_pushed_lists();
@@ -106,8 +112,7 @@
     rig.decide_and_advance(250_000);
     let second = rig.peers.outgoing[0].id;
     rig.step(Event::Established(second));
-    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
-    rig.receive(second, head.as_bytes());
+    rig.receive(second, first_list().as_bytes());
     let requests = rig.router.counters().discovery_requests;
     rig.decide_and_advance(3_000_000);
     assert_eq!(rig.router.counters().discovery_requests, requests);
@@ -132,7 +137,7 @@
     // A watch that receives a message resets the delay.
     let watch = rig.peers.outgoing[0].id;
     rig.step(Event::Established(watch));
-    rig.receive(watch, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    rig.receive(watch, first_list().as_bytes());
     rig.end_connection(watch, 0);
     rig.decide_and_advance(125_000);
     assert_eq!(rig.peers.outgoing.len(), 1);
--- a/crates/query-router/src/router/tests/mod.rs
+++ b/crates/query-router/src/router/tests/mod.rs
@@ -16,6 +16,7 @@
 mod rig;
 mod shutdown;
 mod stale_lists;
+mod start;
 
 use crate::config::Config;
 use crate::io::{ConnectionId, Effect, Event};
