The router's client of discovery can be run by itself

`router/discovery` hands out its endpoint updates one at a time (`next_report`), so that the router and any other front end apply them alike; `discovery::DiscoveryClient` is that state machine with an interface of its own and no I/O. The kinds and numbers of connections and the number of watches move below the modules that use them (`connection_kind.rs`), which ends the circle of imports between descriptor shares, connections, discovery and context.

New in it: at most 100,000 endpoints, as in the control plane, and a counter of entries that could not be used (`endpoint_entries_unusable`).

--- a/crates/query-router/src/counters.rs
+++ b/crates/query-router/src/counters.rs
@@ -143,6 +143,9 @@
     endpoint_lists_older,
     /// Times at which entries of an incomplete endpoint list or update were applied.
     endpoint_lists_partial,
+    /// Entries of endpoint lists that were invalid, had an address that could not be parsed, or were beyond the limit on
+    /// endpoints.
+    endpoint_entries_unusable,
     /// The revision of the last endpoint list or update that was applied.
     endpoint_list_revision,
     /// Watches that were restarted because no complete message followed the previous one in time.
--- a/crates/query-router/src/lib.rs
+++ b/crates/query-router/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod discovery;
 
 mod counters;
 mod event_loop;
--- a/crates/query-router/src/router/connection/mod.rs
+++ b/crates/query-router/src/router/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod response_tracker;
 
 use crate::io::ConnectionId;
+use crate::router::connection_kind::{ConnectionCounts, ConnectionKind};
 use crate::router::descriptor_shares::EvictionScope;
 use balancer::Micros;
 use client::{ClientConnection, ClientState};
@@ -26,17 +27,6 @@
     Discovery(DiscoveryRequest),
 }
 
-/// The kind of a connection.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ConnectionKind {
-    /// A connection that a client opened.
-    Client,
-    /// A connection to a data node.
-    Node,
-    /// A connection to discovery.
-    Discovery,
-}
-
 impl Connection {
     /// Returns the kind of the connection.
     pub fn kind(&self) -> ConnectionKind {
@@ -71,28 +61,6 @@
     InUse,
 }
 
-/// The number of connections of each kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ConnectionCounts {
-    /// Connections that clients opened.
-    pub clients: usize,
-    /// Connections to data nodes.
-    pub nodes: usize,
-    /// Requests to discovery.
-    pub discovery: usize,
-}
-
-impl ConnectionCounts {
-    /// Returns the number of connections of a kind for modification.
-    pub fn of_mut(&mut self, kind: ConnectionKind) -> &mut usize {
-        match kind {
-            ConnectionKind::Client => &mut self.clients,
-            ConnectionKind::Node => &mut self.nodes,
-            ConnectionKind::Discovery => &mut self.discovery,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Slot {
     connection: Connection,
--- a/crates/query-router/src/router/descriptor_shares.rs
+++ b/crates/query-router/src/router/descriptor_shares.rs
@@ -11,8 +11,7 @@
 //! a connection in use gives way to nobody, except for clients in the middle of a request, which give way to waiting
 //! clients (`clients::shortage`).
 
-use crate::router::connection::{ConnectionCounts, ConnectionKind};
-use crate::router::discovery::max_watches;
+use crate::router::connection_kind::{ConnectionCounts, ConnectionKind, max_watches};
 
 /// The most polls for which a descriptor is kept free beside the watches.
 const POLLS: usize = 1;
--- a/crates/query-router/src/router/discovery/mod.rs
+++ b/crates/query-router/src/router/discovery/mod.rs
@@ -2,8 +2,10 @@
 //! updates.
 
 mod backoff;
+mod client;
 mod outcome;
 mod partial_list;
+mod report;
 mod store;
 mod watches;
 
@@ -16,14 +18,17 @@
     parse_update,
 };
 use crate::router::context::Context;
+use crate::router::timers::Timer;
 use backoff::WatchBackoff;
 use balancer::{DiscoveryMode, EndpointUpdate, Micros};
-pub use outcome::RequestOutcome;
+pub use client::{DiscoveryClient, DiscoveryEffect, DiscoveryEvent};
 use partial_list::PartialList;
+pub use report::EndpointReport;
+use report::PendingReport;
 use serde_json::Value as Json;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use watches::Watches;
-pub use watches::max_watches;
 
 /// The state that concerns all requests to discovery together.
 pub struct Discovery {
@@ -47,6 +52,8 @@
     /// The number of requests that failed because no connection could be opened and that have not been reported to the
     /// balancer.
     unreported_failures: usize,
+    /// What else is to be reported to the balancer, in order.
+    pending: VecDeque<PendingReport>,
 }
 
 impl Discovery {
@@ -65,6 +72,7 @@
             backoff: WatchBackoff::new(config),
             zones: config.settings.zones.clone(),
             unreported_failures: 0,
+            pending: VecDeque::new(),
         }
     }
 
@@ -104,8 +112,18 @@
         self.watches.schedule(context);
     }
 
+    /// Handles a timer of discovery that has expired. Other timers have no effect.
+    pub fn timer_expired(&mut self, context: &mut Context, timer: Timer) {
+        match timer {
+            Timer::StartWatch => self.ensure_watch(context),
+            Timer::AdditionalWatch => self.start_additional_watch(context),
+            Timer::AcceptOlderRevision => self.accept_older_revision(context),
+            _ => {}
+        }
+    }
+
     /// Starts another watch, since the open ones are overdue.
-    pub fn start_additional_watch(&mut self, context: &mut Context) {
+    fn start_additional_watch(&mut self, context: &mut Context) {
         self.watches.timer_expired();
         context.counters.endpoint_watches_additional += 1;
         let (revision, list_age_ms) = (self.revision, context.endpoints.list_age_ms(context.now));
@@ -140,16 +158,6 @@
         Some(id)
     }
 
-    /// Returns whether there are failures that have not been reported to the balancer.
-    pub fn has_unreported_failures(&self) -> bool {
-        self.unreported_failures > 0
-    }
-
-    /// Returns the number of failures that have not been reported to the balancer, and resets it.
-    pub fn take_unreported_failures(&mut self) -> usize {
-        std::mem::take(&mut self.unreported_failures)
-    }
-
     /// Changes the address of discovery. Requests in progress are repeated at the new address, so that no late response
     /// from the old one overwrites a newer list. The full list is requested, since revisions of the old address may
     /// mean nothing at the new one. Returns whether the address is another one.
@@ -184,7 +192,7 @@
     }
 
     /// Parses further bytes of a response. Returns how many were consumed and whether the body is complete.
-    pub fn read(
+    fn read(
         &self, context: &mut Context, id: ConnectionId, bytes: &[u8],
     ) -> Result<ResponseRead, DiscoveryError> {
         let request = context.connections.discovery_mut(id);
@@ -197,7 +205,7 @@
 
     /// Returns the next complete update of a watch; `None` if there is none. A blank line counts as an empty update if
     /// it is the first message, which reports to the balancer that discovery works.
-    pub fn next_update(
+    fn next_update(
         &mut self, context: &mut Context, id: ConnectionId,
     ) -> Result<Option<EndpointList>, DiscoveryError> {
         if context.connections.discovery_mut(id).kind == RequestKind::Poll {
@@ -265,7 +273,7 @@
     }
 
     /// Consumes the parsed bytes and sets the timeout of the request.
-    pub fn finish_reading(&mut self, context: &mut Context, id: ConnectionId, read: ResponseRead) {
+    fn finish_reading(&mut self, context: &mut Context, id: ConnectionId, read: ResponseRead) {
         context.effects.push(Effect::Consume { connection: id, count: read.consumed });
         let request = context.connections.discovery_mut(id);
         request.record_progress(context.now, read.progress);
--- a/crates/query-router/src/router/discovery/outcome.rs
+++ b/crates/query-router/src/router/discovery/outcome.rs
@@ -8,7 +8,7 @@
 
 /// The result of a request to discovery that has ended or timed out.
 #[derive(Debug)]
-pub enum RequestOutcome {
+pub(super) enum RequestOutcome {
     /// A poll returned a full endpoint list.
     List(EndpointList),
     /// A watch has ended and another one is open.
@@ -19,7 +19,7 @@
 
 impl Discovery {
     /// Handles the end of a connection or the end of its response.
-    pub fn request_ended(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
+    pub(super) fn request_ended(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
         match context.connections.discovery_mut(id).polled_list() {
             Some(Ok(list)) => {
                 context.endpoints.confirm(context.now);
@@ -34,7 +34,7 @@
     }
 
     /// Handles a response that is malformed or invalid: the request fails.
-    pub fn reject_response(
+    pub(super) fn reject_response(
         &mut self, context: &mut Context, id: ConnectionId, error: &DiscoveryError,
     ) -> RequestOutcome {
         context.counters.endpoint_lists_invalid += 1;
@@ -45,7 +45,7 @@
     /// Handles the timeout of a request. A watch that had received messages is restarted at once if no other is open.
     /// The balancer gets a report only if the restart fails, since the missed updates arrive soon after it. If a watch
     /// without any message was the only one, the next one is started after a short delay, whatever the balancer decides.
-    pub fn timed_out(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
+    pub(super) fn timed_out(&mut self, context: &mut Context, id: ConnectionId) -> RequestOutcome {
         if self.watches.is_current(id) {
             return self.replace_silent_watch(context, id);
         }
@@ -103,7 +103,7 @@
     }
 
     /// Handles the failure of a request: schedules the next watch if endpoint lists are pushed and there is no watch.
-    pub fn handle_failure(&mut self, context: &mut Context) {
+    pub(super) fn handle_failure(&mut self, context: &mut Context) {
         context.counters.discovery_failures += 1;
         if self.mode == DiscoveryMode::Pushed && self.watches.is_empty() {
             self.backoff.schedule(context);
--- a/crates/query-router/src/router/discovery/partial_list.rs
+++ b/crates/query-router/src/router/discovery/partial_list.rs
@@ -31,7 +31,7 @@
 
 impl Discovery {
     /// Looks at the updates that are incomplete. Returns the endpoints that change, if any, for the balancer.
-    pub fn apply_partial_list(&mut self, context: &mut Context) -> Vec<Endpoint> {
+    pub(super) fn apply_partial_list(&mut self, context: &mut Context) -> Vec<Endpoint> {
         if self.partial_list.is_some_and(|partial| !self.is_arriving(context, partial)) {
             self.partial_list = None;
             return context.endpoints.resume_suspended(context.now);
--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -23,7 +23,7 @@
 
 impl Discovery {
     /// Stores an endpoint list or update. Returns its valid entries for the balancer.
-    pub fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
+    pub(super) fn store(&mut self, context: &mut Context, list: &EndpointList) -> Vec<Endpoint> {
         let revision = list.json["revision"].as_u64();
         if list.update != EndpointUpdate::Provisional {
             self.revision = revision.unwrap_or(self.revision);
@@ -88,7 +88,7 @@
 
     /// Requests the list again after revisions have been older for [`OLDER_REVISION_TIMEOUT`], and accepts whichever is
     /// sent.
-    pub fn accept_older_revision(&mut self, context: &mut Context) {
+    pub(super) fn accept_older_revision(&mut self, context: &mut Context) {
         self.accept_older_at = None;
         self.newest_revision = 0;
         self.revision = 0;
@@ -98,7 +98,9 @@
     pub(super) fn store_entry(
         &self, context: &mut Context, member: &Json, order: RevisionOrder,
     ) -> Option<Endpoint> {
-        let Some(mut entry) = EndpointEntry::parse(member) else {
+        let entry = EndpointEntry::parse(member).filter(|entry| context.endpoints.has_room_for(entry.id));
+        let Some(mut entry) = entry else {
+            context.counters.endpoint_entries_unusable += 1;
             return store_invalid_entry(context, member);
         };
         let may_become_ready = order == RevisionOrder::Newest || context.endpoints.is_ready(entry.id);
@@ -107,6 +109,9 @@
         }
         let zone = self.zones.iter().position(|name| name == entry.zone).unwrap_or(self.zones.len());
         let node = context.endpoints.store(context.now, &entry);
+        if context.endpoints[node].address.is_none() {
+            context.counters.endpoint_entries_unusable += 1;
+        }
         let endpoint = Endpoint {
             node,
             zone,
@@ -120,7 +125,7 @@
     }
 }
 
-/// Handles an entry that cannot be used as it is. If it takes away a node that is listed, it does so; otherwise it is
+/// Handles an entry that cannot be used as it is, or for which the table has no room. If it takes away a node that is listed, it does so; otherwise it is
 /// skipped.
 fn store_invalid_entry(context: &mut Context, member: &Json) -> Option<Endpoint> {
     let state = member["phase"].as_str().and_then(endpoint_state);
--- a/crates/query-router/src/router/discovery/watches.rs
+++ b/crates/query-router/src/router/discovery/watches.rs
@@ -4,14 +4,11 @@
 
 use crate::io::ConnectionId;
 use crate::router::connection::discovery::{DiscoveryRequest, HEARTBEAT_INTERVAL};
+use crate::router::connection_kind::max_watches;
 use crate::router::context::Context;
 use crate::router::timers::Timer;
 use balancer::Micros;
 
-/// The most watches at a time.
-const MAX_WATCHES: usize = 3;
-/// The share of all connections that one watch may take: a router with few descriptors has a single watch.
-const CONNECTIONS_PER_WATCH: usize = 16;
 /// The time without a complete message after the start of a watch or of an update after which another watch is started.
 const RESPONSE_OVERDUE_AFTER: Micros = 1_800_000;
 /// The time without a message after which another watch is started. A single heartbeat may be late by more than a second.
@@ -19,11 +16,6 @@
 /// The interval at which the youngest of the most watches is replaced while none has a complete message.
 const REPLACEMENT_INTERVAL: Micros = 8_000_000;
 
-/// Returns the most watches that a router with this limit on connections has at a time.
-pub fn max_watches(max_connections: usize) -> usize {
-    (max_connections / CONNECTIONS_PER_WATCH).clamp(1, MAX_WATCHES)
-}
-
 /// The open watches.
 #[derive(Debug)]
 pub struct Watches {
--- a/crates/query-router/src/router/endpoints.rs
+++ b/crates/query-router/src/router/endpoints.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::ops::{Index, IndexMut};
 
+/// The most endpoints. Entries of further ones are skipped.
+const MAX_ENDPOINTS: usize = 100_000;
+
 /// The last listed state of a data node, and its connections.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRecord {
@@ -85,6 +88,21 @@
         self.confirmed_at.map(|at| (now - at) / 1000)
     }
 
+    /// Returns whether an entry with this id can be stored.
+    pub fn has_room_for(&self, id: &str) -> bool {
+        self.ids.count() < MAX_ENDPOINTS || self.ids.find(id).is_some()
+    }
+
+    /// Returns the record of a node; `None` if there is none.
+    pub fn get(&self, node: NodeId) -> Option<&EndpointRecord> {
+        self.records.get(node.0)
+    }
+
+    /// Returns the id of a node in endpoint lists; `None` if it is free.
+    pub fn id(&self, node: NodeId) -> Option<&str> {
+        self.ids.key(node.0).map(String::as_str)
+    }
+
     /// Starts an endpoint update.
     pub fn start_update(&mut self) {
         self.update_number += 1;
@@ -208,7 +226,6 @@
     }
 
     /// Returns the number of ids in use.
-    #[cfg(test)]
     pub fn id_count(&self) -> usize {
         self.ids.count()
     }
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -4,7 +4,7 @@
 //! This module dispatches events to the components and passes their results to the balancer. A component uses neither
 //! the balancer nor any component above it. From the bottom:
 //!
-//! - `timers`, `shutdown`, `read_wait`, `executed_ids`, `log_limit`, `endpoints` and `connection`: state without effects
+//! - `connection_kind`, `timers`, `shutdown`, `read_wait`, `executed_ids`, `log_limit`, `endpoints` and `connection`: state without effects
 //! - `rules`: preconditions of actions
 //! - `descriptor_shares`: who may take how many file descriptors
 //! - `context`: the state that all components share
@@ -16,6 +16,7 @@
 
 mod clients;
 mod connection;
+mod connection_kind;
 mod context;
 mod descriptor_shares;
 mod discovery;
@@ -39,14 +40,15 @@
 use crate::counters::Counters;
 use crate::io::{BufferSizes, ConnectionId, Effect, Event, IterationReport};
 use balancer::{AttemptOutcome, Balancer, Events, Micros};
-use connection::ConnectionKind;
-use connection::discovery::{BodyProgress, EndpointList};
-use discovery::RequestOutcome;
+use connection::discovery::EndpointList;
+use connection_kind::ConnectionKind;
 use read_wait::ReadWait;
 use state::State;
 use std::net::SocketAddr;
 use timers::Timer;
 
+pub use discovery::{DiscoveryClient, DiscoveryEffect, DiscoveryEvent, EndpointReport};
+
 /// The router's state machine.
 pub struct Router {
     balancer: Balancer,
@@ -74,7 +76,8 @@
         };
         let update = router.state.discovery.initial_update();
         let cached = EndpointList { update, json: config.cached_endpoints.clone() };
-        router.apply_endpoint_list(&cached);
+        router.state.discovery.load(cached);
+        router.report_discovery();
         router.state.discovery.start(&mut router.state.context);
         router
     }
@@ -141,10 +144,7 @@
     /// decide, at most once in a decision interval.
     pub fn decide(&mut self, now: Micros) {
         self.state.context.now = now;
-        for _ in 0..self.state.discovery.take_unreported_failures() {
-            self.state.discovery.handle_failure(&mut self.state.context);
-            self.report_discovery_failure();
-        }
+        self.report_discovery();
         for finished in self.state.queries.take_pending_outcomes() {
             self.report_attempt(&finished, &[]);
         }
@@ -196,7 +196,7 @@
     fn update_wake_time(&mut self) {
         let State { context, queries, discovery, .. } = &mut self.state;
         let decision_needed =
-            self.decision_needed || queries.has_pending_outcomes() || discovery.has_unreported_failures();
+            self.decision_needed || queries.has_pending_outcomes() || discovery.has_pending_reports();
         let decision_at = decision_needed.then_some(self.last_decision_at + context.limits.decision_interval);
         let next = context.timers.next_at().into_iter().chain(decision_at).min();
         if std::mem::replace(&mut self.wake_at, next) != next {
@@ -218,8 +218,8 @@
             Some(ConnectionKind::Client) => self.client_received(id, bytes),
             Some(ConnectionKind::Node) => self.node_received(id, bytes),
             Some(ConnectionKind::Discovery) => {
-                self.discovery_received(id, bytes);
-                self.apply_partial_list();
+                self.state.discovery.received(&mut self.state.context, id, bytes);
+                self.report_discovery();
             }
             None => {}
         }
@@ -279,9 +279,8 @@
                 self.report_all_to_balancer(reports);
             }
             Some(ConnectionKind::Discovery) => {
-                let outcome = discovery.request_ended(context, id);
-                self.discovery_request_ended(id, outcome);
-                self.apply_partial_list();
+                discovery.ended(context, id);
+                self.report_discovery();
             }
             None => {}
         }
@@ -292,7 +291,7 @@
         while let Some(timer) = self.state.context.timers.pop_expired(now) {
             self.timer_expired(timer);
         }
-        self.apply_partial_list();
+        self.report_discovery();
     }
 
     fn timer_expired(&mut self, timer: Timer) {
@@ -309,9 +308,9 @@
                 let report = node_connections::health_check_timed_out(context, id);
                 self.report_all_to_balancer(report);
             }
-            Timer::StartWatch => discovery.ensure_watch(context),
-            Timer::AdditionalWatch => discovery.start_additional_watch(context),
-            Timer::AcceptOlderRevision => discovery.accept_older_revision(context),
+            Timer::StartWatch | Timer::AdditionalWatch | Timer::AcceptOlderRevision => {
+                discovery.timer_expired(context, timer);
+            }
             Timer::AcceptClients => clients.retry_accept(context),
             Timer::CloseIdleClients => clients.close_idle(context),
             Timer::ResponseDeadline => clients.reject_incomplete(context),
@@ -329,8 +328,8 @@
                 self.report_all_to_balancer(reports);
             }
             Some(ConnectionKind::Discovery) => {
-                let outcome = discovery.timed_out(context, id);
-                self.discovery_request_ended(id, outcome);
+                discovery.request_timer_expired(context, id);
+                self.report_discovery();
             }
             None => {}
         }
@@ -341,7 +340,7 @@
         if discovery.set_address(context, address) {
             self.balancer.discovery_address_changed(context.now);
             self.decision_needed = true;
-            self.apply_partial_list();
+            self.report_discovery();
         }
     }
 
@@ -393,44 +392,4 @@
             self.report_to_balancer(report);
         }
     }
-
-    /// Reads bytes of a discovery response and applies each update as soon as it is complete.
-    fn discovery_received(&mut self, id: ConnectionId, bytes: &[u8]) {
-        let State { context, discovery, .. } = &mut self.state;
-        let read = match discovery.read(context, id, bytes) {
-            Ok(read) => read,
-            Err(error) => {
-                let outcome = discovery.reject_response(context, id, &error);
-                return self.discovery_request_ended(id, outcome);
-            }
-        };
-        loop {
-            let State { context, discovery, .. } = &mut self.state;
-            match discovery.next_update(context, id) {
-                Ok(Some(list)) => self.apply_endpoint_list(&list),
-                Ok(None) => break,
-                Err(error) => {
-                    let outcome = discovery.reject_response(context, id, &error);
-                    return self.discovery_request_ended(id, outcome);
-                }
-            }
-        }
-        let State { context, discovery, .. } = &mut self.state;
-        discovery.finish_reading(context, id, read);
-        if read.progress == BodyProgress::Complete {
-            let outcome = discovery.request_ended(context, id);
-            self.discovery_request_ended(id, outcome);
-        }
-    }
-
-    fn discovery_request_ended(&mut self, id: ConnectionId, outcome: RequestOutcome) {
-        match outcome {
-            RequestOutcome::List(list) => {
-                self.apply_endpoint_list(&list);
-                self.state.context.close(id);
-            }
-            RequestOutcome::Replaced => {}
-            RequestOutcome::Failed => self.report_discovery_failure(),
-        }
-    }
 }
--- a/crates/query-router/src/router/node_connections/mod.rs
+++ b/crates/query-router/src/router/node_connections/mod.rs
@@ -13,8 +13,8 @@
 pub use write::write;
 
 use crate::io::{ConnectionId, Effect};
-use crate::router::connection::ConnectionKind;
 use crate::router::connection::outgoing_queue::HealthCheckKind;
+use crate::router::connection_kind::ConnectionKind;
 use crate::router::context::Context;
 use crate::router::query_table::QueryTable;
 use crate::router::timers::Timer;
--- a/crates/query-router/src/router/reports.rs
+++ b/crates/query-router/src/router/reports.rs
@@ -3,12 +3,12 @@
 use crate::protocol::query_request::RequestedShard;
 use crate::router::Router;
 use crate::router::clients::AcceptedQuery;
-use crate::router::connection::discovery::EndpointList;
+use crate::router::discovery::EndpointReport;
 use crate::router::node_connections::NodeReport;
 use crate::router::query_table::FinishedAttempt;
 use crate::router::state::State;
 use balancer::{
-    AttemptEnd, Endpoint, EndpointUpdate, Events, HealthCheckEnd, InvalidatedResponse, LoadMetric, NodeId,
+    AttemptEnd, EndpointUpdate, Events, HealthCheckEnd, InvalidatedResponse, LoadMetric, NodeId,
     ShardRequestArrival,
 };
 
@@ -69,40 +69,25 @@
         self.decision_needed = true;
     }
 
-    /// Reports a failed request to discovery to the balancer.
-    pub(super) fn report_discovery_failure(&mut self) {
-        let now = self.state.context.now;
-        self.balancer.endpoint_update_started(now, EndpointUpdate::Failed);
-        self.balancer.endpoint_update_finished(now, &mut self.state);
-        self.decision_needed = true;
-    }
-
-    /// Applies an endpoint list and reports it to the balancer.
-    pub(super) fn apply_endpoint_list(&mut self, list: &EndpointList) {
-        let State { context, discovery, .. } = &mut self.state;
-        let endpoints = discovery.store(context, list);
-        self.report_endpoints(list.update, &endpoints);
-    }
-
-    /// Applies the entries of endpoint lists that are incomplete, as far as they may be.
-    pub(super) fn apply_partial_list(&mut self) {
-        let State { context, discovery, .. } = &mut self.state;
-        let endpoints = discovery.apply_partial_list(context);
-        if !endpoints.is_empty() {
-            self.report_endpoints(EndpointUpdate::Incremental, &endpoints);
+    /// Reports the endpoint updates of discovery to the balancer, one after the other.
+    pub(super) fn report_discovery(&mut self) {
+        while let Some(report) = self.state.next_endpoint_report() {
+            self.report_endpoints(&report);
         }
     }
 
     /// Reports an endpoint update to the balancer entry by entry, and applies it to the connections of the nodes.
-    fn report_endpoints(&mut self, update: EndpointUpdate, endpoints: &[Endpoint]) {
+    fn report_endpoints(&mut self, report: &EndpointReport) {
         let State { context, queries, dispatcher, .. } = &mut self.state;
         let now = context.now;
-        self.balancer.endpoint_update_started(now, update);
-        for endpoint in endpoints {
+        self.balancer.endpoint_update_started(now, report.update);
+        for endpoint in &report.endpoints {
             self.balancer.endpoint_listed(now, endpoint);
         }
-        for node in 0..context.endpoints.len() {
-            dispatcher.apply_endpoint(context, queries, NodeId(node));
+        if report.update != EndpointUpdate::Failed {
+            for node in 0..context.endpoints.len() {
+                dispatcher.apply_endpoint(context, queries, NodeId(node));
+            }
         }
         self.balancer.endpoint_update_finished(now, &mut self.state);
         self.update_readiness();
--- a/crates/query-router/src/router/state.rs
+++ b/crates/query-router/src/router/state.rs
@@ -4,7 +4,7 @@
 use crate::counters::debug_invariant;
 use crate::router::clients::Clients;
 use crate::router::context::Context;
-use crate::router::discovery::Discovery;
+use crate::router::discovery::{Discovery, EndpointReport};
 use crate::router::dispatch::Dispatcher;
 use crate::router::query_table::QueryTable;
 use crate::router::timers::Timer;
@@ -37,6 +37,11 @@
             discovery,
         }
     }
+
+    /// Returns the next endpoint update of discovery for the balancer; `None` if there is none.
+    pub fn next_endpoint_report(&mut self) -> Option<EndpointReport> {
+        self.discovery.next_report(&mut self.context)
+    }
 }
 
 impl Actions for State {
--- a/crates/query-router/src/router/tests/drain_grid.rs
+++ b/crates/query-router/src/router/tests/drain_grid.rs
@@ -3,7 +3,7 @@
 
 use super::stale_lists::{answer_watch, config, entry, list, response};
 use super::*;
-use crate::router::connection::ConnectionKind;
+use crate::router::connection_kind::ConnectionKind;
 use balancer::Micros;
 use serde_json::{Value as Json, json};
 
--- a/crates/query-router/src/router/tests/rig.rs
+++ b/crates/query-router/src/router/tests/rig.rs
@@ -305,7 +305,8 @@
     /// Applies an endpoint list, without applying the resulting effects.
     pub fn apply_endpoint_list(&mut self, list: &Json, update: EndpointUpdate) {
         self.router.state.context.now = self.now;
-        self.router.apply_endpoint_list(&EndpointList { update, json: list.clone() });
+        self.router.state.discovery.load(EndpointList { update, json: list.clone() });
+        self.router.report_discovery();
     }
 
     /// Returns the number of ready endpoints.
