The control plane reads discovery by the router's client: indented lists, prompt watches

Cause: the control plane had a reader of its own. It parsed each line as an object, where the router splits the stream by objects; it waited for WATCH_RETRY_DELAY whatever the grace, where the router waits for an eighth to a quarter of it.

Change: `EndpointTable` runs `DiscoveryClient`; `server/discovery.rs` has the sockets only. So another watch beside one that is overdue, drains in slow lists, older lists, the delay by the grace and the address of a reload are the router's.

Tests: `machine/discovery.rs` (forms in pieces of any length, ends of watches alone and in series with four graces, 64 instances, hangs, silence, slow and older lists, reloads) and `loopback/discovery.rs`, whose two tests fail on the code before (in use until 2.04 s after the drain; no list at all). The three tests of the old reader (older revisions, a line that never ends, the list at a new address) have successors in `machine/discovery.rs` that ask the same of the whole state machine. The simulation's lists have rising revisions now, since the same revision for different lists counts as older.

--- a/crates/control-plane/src/control_plane/desired_state_update.rs
+++ b/crates/control-plane/src/control_plane/desired_state_update.rs
@@ -4,16 +4,15 @@
 use super::proxy_state::ProxyState;
 use crate::desired_state::{DesiredState, ProxyCounts, is_node_cluster};
 use crate::drain_tracker::Drain;
-use crate::endpoint_table::EndpointSource;
 use crate::ids::ProxyId;
 use crate::resource::ResourceType;
 use balancer::Micros;
 
 impl ControlPlane {
     /// Derives the desired state from the health of the nodes and pushes resources to all proxies if it changed.
-    /// Does nothing until an endpoint list has named a node.
+    /// Does nothing until an endpoint list may be used that has named a node.
     pub(super) fn update_desired_state(&mut self, now: Micros) {
-        if self.endpoints.source() == EndpointSource::None {
+        if !self.endpoints.is_usable() {
             return;
         }
         let (proxies, instances) = (self.proxy_counts(now), self.options.instances);
--- a/crates/control-plane/src/control_plane/mod.rs
+++ b/crates/control-plane/src/control_plane/mod.rs
@@ -18,7 +18,7 @@
 use crate::deployment_settings::DeploymentSettings;
 use crate::desired_state::DesiredState;
 use crate::drain_tracker::DrainTracker;
-use crate::endpoint_table::{EndpointTable, RequestedActions, WatchRequest};
+use crate::endpoint_table::{EndpointTable, RequestedActions, UpdateCounts, WatchRequest};
 use crate::ids::{ProxyId, StreamId};
 use crate::load_reports::{LoadReports, ProbeResult};
 use crate::metrics::Metrics;
@@ -26,9 +26,10 @@
 use crate::resource::ResourceSnapshot;
 use crate::resource_cache::{ProxyGrants, ResourceCache};
 use crate::session::{ProtocolVariant, Response};
-use balancer::{DiscoveryMode, EndpointUpdate, Idempotency, Micros};
+use balancer::{EndpointUpdate, Idempotency, Micros};
 use proxy_state::{ProxyState, StreamState};
 use query_router::config::Config;
+use query_router::discovery::{DiscoveryEffect, DiscoveryEvent};
 use serde_json::Value as Json;
 use settings_schema::IdInterner;
 use std::collections::{BTreeMap, HashMap};
@@ -39,9 +40,6 @@
 /// Interval at which the caller calls `ControlPlane::tick`. The balancer decides at each tick and immediately after
 /// an endpoint update.
 pub const TICK_INTERVAL: Micros = 50_000;
-/// Delay between a failed endpoint update and the next watch of discovery in pushed mode, unless the balancer
-/// requests one earlier.
-const WATCH_RETRY_DELAY: Micros = 2_000_000;
 /// Stream ID under which a dump identifies its proxy; never used for a real stream.
 const DUMP_STREAM: StreamId = StreamId(u64::MAX);
 
@@ -64,8 +62,8 @@
         /// The reason, from which the gRPC status of the stream is made.
         error: StreamError,
     },
-    /// Watch the endpoint list of discovery. If a watch is in progress, the next one starts once it has ended.
-    WatchEndpoints,
+    /// Carry out an effect of the client of discovery.
+    Discovery(DiscoveryEffect),
     /// Try to connect to a data node.
     ProbeNode(SocketAddr),
 }
@@ -96,8 +94,6 @@
     proxies: BTreeMap<ProxyId, ProxyState>,
     earlier_versions: EarlierVersions,
     started_at: Micros,
-    /// Time of the next watch of discovery; `None` if none is scheduled.
-    next_watch_at: Option<Micros>,
     /// Time at which load reports were last passed to the balancer.
     load_forwarded_at: Micros,
     probed_at: Micros,
@@ -106,14 +102,15 @@
 }
 
 impl ControlPlane {
-    /// Creates a control plane with the cached endpoints of the configuration and no proxies.
+    /// Creates a control plane with the cached endpoints of the configuration and no proxies, which starts to watch
+    /// discovery.
     pub fn new(now: Micros, config: &Config, options: Options) -> ControlPlane {
         let deployment = DeploymentSettings::new(config);
         let mut control_plane = ControlPlane {
             resources: ResourceCache::new(&options, &deployment.zones),
             options,
             deployment,
-            endpoints: EndpointTable::new(config),
+            endpoints: EndpointTable::new(now, config),
             desired: DesiredState::default(),
             snapshots: HashMap::new(),
             capacity_ledger: CapacityLedger::default(),
@@ -124,7 +121,6 @@
             proxies: BTreeMap::new(),
             earlier_versions: EarlierVersions::Unseen,
             started_at: now,
-            next_watch_at: Some(now),
             load_forwarded_at: now,
             probed_at: now,
             metrics: Metrics::new(),
@@ -162,25 +158,40 @@
         self.deployment.probe_timeout
     }
 
-    /// Applies an endpoint update. `list` has the JSON format of discovery; null if the update failed or nothing has
-    /// changed since the requested revision.
+    /// Applies an endpoint list or update in the JSON format of discovery that came on no connection.
     pub fn endpoint_update(&mut self, now: Micros, list: &Json, update: EndpointUpdate) {
-        let mut actions = RequestedActions::default();
-        self.endpoints.update(now, &self.deployment, list, update, &mut actions);
-        if update == EndpointUpdate::Failed {
-            self.metrics.endpoint_updates_failed.inc();
-            let is_pushed = self.deployment.discovery_mode == DiscoveryMode::Pushed;
-            self.next_watch_at = is_pushed.then_some(now + WATCH_RETRY_DELAY);
-        } else {
-            self.metrics.endpoint_updates.inc();
-        }
-        self.metrics.unusable_entries.set(self.endpoints.unusable_entries() as i64);
-        self.decide(now, actions);
+        self.endpoints.load(now, list, update);
+        self.apply_endpoint_updates(now);
+    }
+
+    /// Handles an event of a connection to discovery, or of the timer.
+    pub fn discovery_event(&mut self, now: Micros, event: DiscoveryEvent) {
+        self.endpoints.discovery_event(now, event);
+        self.apply_endpoint_updates(now);
     }
 
-    /// Handles a change of discovery's address, at which a watch is started.
-    pub fn discovery_address_changed(&mut self, now: Micros) {
-        self.endpoints.discovery_address_changed(now);
+    /// Returns the time at which the caller reports [`DiscoveryEvent::TimerExpired`]; `None` if no timer is set.
+    pub fn next_discovery_timer_at(&self) -> Option<Micros> {
+        self.endpoints.next_discovery_timer_at()
+    }
+
+    /// Changes the address of discovery, unless it is the same. The list is requested there at once.
+    pub fn set_discovery_address(&mut self, now: Micros, address: SocketAddr) {
+        self.endpoints.set_discovery_address(now, address);
+        self.apply_endpoint_updates(now);
+    }
+
+    /// Passes new endpoint updates to the balancer. It decides at once if there are any.
+    fn apply_endpoint_updates(&mut self, now: Micros) {
+        let mut actions = RequestedActions::default();
+        let counts = self.endpoints.apply_updates(now, &mut actions);
+        if counts != UpdateCounts::default() {
+            self.metrics.endpoint_updates.inc_by(counts.applied);
+            self.metrics.endpoint_updates_failed.inc_by(counts.failed);
+            self.metrics.unusable_entries.set(self.endpoints.unusable_entries() as i64);
+            self.decide(now, actions);
+        }
+        self.queue_discovery_effects();
     }
 
     /// Runs a decision of the balancer and pushes resources if the desired state changed.
@@ -189,13 +200,17 @@
         for line in &actions.log_lines {
             tracing::info!("{line}");
         }
-        if actions.watch == WatchRequest::Requested && now > self.started_at {
-            self.next_watch_at = Some(now);
+        if actions.watch == WatchRequest::Requested {
+            self.endpoints.ensure_watch(now);
         }
         self.metrics.nodes.set(self.endpoints.count() as i64);
         self.update_desired_state(now);
     }
 
+    fn queue_discovery_effects(&mut self) {
+        self.effects.extend(self.endpoints.take_effects().into_iter().map(Effect::Discovery));
+    }
+
     /// Records the result of a probe of a data node. Results for addresses that are no longer listed are ignored.
     pub fn probe_finished(&mut self, address: SocketAddr, result: ProbeResult) {
         if let Some(node) = self.endpoints.find(&address) {
@@ -205,15 +220,13 @@
 
     /// Runs the periodic tasks, the balancer's decision and the pushes that are due at `now`.
     pub fn tick(&mut self, now: Micros) {
-        if self.next_watch_at.is_some_and(|at| at <= now) {
-            self.next_watch_at = None;
-            self.effects.push(Effect::WatchEndpoints);
-        }
+        self.discovery_event(now, DiscoveryEvent::TimerExpired);
         self.forward_load_reports(now);
         self.probe_nodes(now);
         self.remove_expired_proxies(now);
         self.close_inactive_streams(now);
         self.decide(now, RequestedActions::default());
+        self.queue_discovery_effects();
         self.renew_leases(now);
         self.push_to_partially_granted(now);
         let started_by = now - self.deployment.drain_grace;
--- a/crates/control-plane/src/control_plane/snapshot.rs
+++ b/crates/control-plane/src/control_plane/snapshot.rs
@@ -46,8 +46,8 @@
         if let Some(cached) = proxy.snapshot.as_ref().filter(|cached| cached.generation == generation) {
             return ProxySnapshot { resources: cached.resources.clone(), grant_status: GrantStatus::Full };
         }
-        // The cached endpoint list may be older than the resources that a resumed proxy has. Until discovery has
-        // sent a list, only proxies without resources get a snapshot.
+        // A provisional endpoint list may be older than the resources that a resumed proxy has. Until discovery has
+        // sent the full list, only proxies without resources get a snapshot.
         let is_current = self.endpoints.source() == EndpointSource::Discovery;
         if generation == 0 || !is_current && proxy.session.is_resumed() {
             return empty;
--- a/crates/control-plane/src/deployment_settings.rs
+++ b/crates/control-plane/src/deployment_settings.rs
@@ -1,6 +1,6 @@
 //! The subset of the router's configuration that the control plane uses, with defaults applied.
 
-use balancer::{ClassSettings, DiscoveryMode, Idempotency, Micros, Settings};
+use balancer::{ClassSettings, Idempotency, Micros, Settings};
 use query_router::config::Config;
 use std::time::Duration;
 
@@ -39,7 +39,6 @@
     pub free_retries: f64,
     /// Time after the start of a drain for which proxies may still use the node.
     pub drain_grace: Micros,
-    pub discovery_mode: DiscoveryMode,
 }
 
 impl DeploymentSettings {
@@ -59,7 +58,6 @@
             retry_share: rules.retry_share,
             free_retries: rules.free_retries,
             drain_grace: rules.drain_grace.max(1),
-            discovery_mode: config.settings.discovery_mode,
         }
     }
 
--- a/crates/control-plane/src/dump.rs
+++ b/crates/control-plane/src/dump.rs
@@ -4,7 +4,7 @@
 use crate::control_plane::{ControlPlane, ProxyNode};
 use crate::options::Options;
 use crate::resource::{Resource, ResourceType};
-use balancer::Micros;
+use balancer::{EndpointUpdate, Micros};
 use query_router::config::Config;
 use serde_json::{Value as Json, json};
 
@@ -22,6 +22,7 @@
 /// in the configuration.
 pub fn dump(now: Micros, config: &Config, options: Options, id: &str, zone: &str) -> Result<Json, DumpError> {
     let mut control_plane = ControlPlane::new(now, config, options);
+    control_plane.endpoint_update(now, &config.cached_endpoints, EndpointUpdate::Cached);
     let snapshot = control_plane.snapshot_for(now, ProxyNode { id, zone });
     let mut types = Vec::new();
     for resource_type in ResourceType::ALL {
--- a/crates/control-plane/src/endpoint_table.rs
+++ b/crates/control-plane/src/endpoint_table.rs
@@ -1,28 +1,25 @@
-//! The endpoint table: the data nodes that discovery has listed, and the balancer that determines their health.
+//! The endpoint table: the client of discovery, the data nodes that it has listed, and the balancer that determines
+//! their health.
 //!
-//! The balancer is the same as in a router; the table itself makes no decisions.
+//! The client and the balancer are the same as in a router; the table itself makes no decisions.
 
-use crate::deployment_settings::DeploymentSettings;
 use balancer::{
     Actions, Balancer, Completion, Endpoint, EndpointHealth, EndpointUpdate, Events, LoadReport, Micros,
     NodeId, QueryId, ShardRequestId,
 };
 use query_router::config::Config;
+use query_router::discovery::{DiscoveryClient, DiscoveryEffect, DiscoveryEvent, EndpointReport};
 use serde_json::Value as Json;
-use settings_schema::{EndpointEntry, IdInterner, NodeStart, StartTimes};
 use std::net::SocketAddr;
 
-/// Maximum number of nodes in the table. Entries of further nodes are skipped and counted as unusable.
-const MAX_NODES: usize = 100_000;
-
 /// Source of the nodes in the table; a later variant takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum EndpointSource {
     /// No endpoint list has contained a usable entry yet.
     None,
-    /// The nodes come from the cached endpoints in the configuration.
-    Cached,
-    /// At least one node has come from discovery.
+    /// The nodes may be outdated: discovery has not sent the full list yet.
+    Provisional,
+    /// Discovery has sent the full list, with at least one node.
     Discovery,
 }
 
@@ -59,16 +56,6 @@
     }
 }
 
-/// The last entry of a node; the default for an identifier without a node.
-#[derive(Clone, Debug, Default)]
-struct EndpointRecord {
-    /// `None` if the address of the entry cannot be parsed.
-    address: Option<SocketAddr>,
-    zone: usize,
-    replica_set: usize,
-    start: Option<NodeStart>,
-}
-
 /// A node with a valid address, and its health.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EndpointView<'a> {
@@ -80,87 +67,104 @@
     pub health: EndpointHealth,
 }
 
+/// How many endpoint updates were applied, and how many requests to discovery have failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct UpdateCounts {
+    pub applied: u64,
+    pub failed: u64,
+}
+
 /// The data nodes that discovery or the configuration has listed.
 pub(crate) struct EndpointTable {
     balancer: Balancer,
-    ids: IdInterner<String>,
-    /// By node ID.
-    records: Vec<EndpointRecord>,
+    client: DiscoveryClient,
+    /// The last entry of each node, by node ID; `None` for an ID without a node.
+    endpoints: Vec<Option<Endpoint>>,
     source: EndpointSource,
-    unusable_entries: u64,
-    start_times: StartTimes,
 }
 
 impl EndpointTable {
-    /// Creates a table without nodes.
-    pub fn new(config: &Config) -> EndpointTable {
+    /// Creates a table without nodes, and starts to watch discovery.
+    pub fn new(now: Micros, config: &Config) -> EndpointTable {
+        let mut client = DiscoveryClient::new(config, now);
+        client.ensure_watch(now);
         EndpointTable {
             balancer: Balancer::new(config.seed, config.settings.clone()),
-            ids: IdInterner::default(),
-            records: Vec::new(),
+            client,
+            endpoints: Vec::new(),
             source: EndpointSource::None,
-            unusable_entries: 0,
-            start_times: StartTimes::default(),
         }
     }
 
-    /// Applies an endpoint update. `list` has the JSON format of discovery; null if the update failed or nothing has
-    /// changed since the requested revision.
-    pub fn update(
-        &mut self, now: Micros, deployment: &DeploymentSettings, list: &Json, update: EndpointUpdate,
-        actions: &mut RequestedActions,
-    ) {
-        self.balancer.endpoint_update_started(now, update);
-        for entry in list["members"].as_array().map_or(&[][..], Vec::as_slice) {
-            match self.parse_entry(entry) {
-                Some(entry) => self.update_entry(now, deployment, &entry, update),
-                None => self.unusable_entries += 1,
-            }
-        }
-        if matches!(update, EndpointUpdate::Full | EndpointUpdate::Incremental) {
-            self.start_times.list_received(now);
+    /// Loads an endpoint list in the JSON format of discovery.
+    pub fn load(&mut self, now: Micros, list: &Json, update: EndpointUpdate) {
+        self.client.load(now, list, update);
+    }
+
+    /// Passes an event to the client of discovery.
+    pub fn discovery_event(&mut self, now: Micros, event: DiscoveryEvent) {
+        self.client.handle(now, event);
+    }
+
+    /// Starts a watch of discovery if none is open.
+    pub fn ensure_watch(&mut self, now: Micros) {
+        self.client.ensure_watch(now);
+    }
+
+    /// Changes the address of discovery, and discards what failures at the former one have delayed.
+    pub fn set_discovery_address(&mut self, now: Micros, address: SocketAddr) {
+        if self.client.set_address(now, address) {
+            self.balancer.discovery_address_changed(now);
         }
-        self.balancer.endpoint_update_finished(now, actions);
     }
 
-    /// Discards what failures at a former address of discovery have delayed.
-    pub fn discovery_address_changed(&mut self, now: Micros) {
-        self.balancer.discovery_address_changed(now);
+    /// Returns the effects that the client of discovery has requested since the last call.
+    pub fn take_effects(&mut self) -> Vec<DiscoveryEffect> {
+        self.client.take_effects()
     }
 
-    /// Parses an entry. Returns `None` if the entry is invalid, or its node is new and the table is full.
-    fn parse_entry<'a>(&self, entry: &'a Json) -> Option<EndpointEntry<'a>> {
-        let has_room = self.ids.count() < MAX_NODES;
-        EndpointEntry::parse(entry).filter(|entry| has_room || self.ids.find(entry.id).is_some())
+    /// Returns the time at which the client of discovery expects the event of its timer; `None` if no timer is set.
+    pub fn next_discovery_timer_at(&self) -> Option<Micros> {
+        self.client.next_timer_at()
+    }
+
+    /// Passes the endpoint updates that the client of discovery has to the balancer.
+    pub fn apply_updates(&mut self, now: Micros, actions: &mut RequestedActions) -> UpdateCounts {
+        let mut counts = UpdateCounts::default();
+        while let Some(report) = self.client.next_report() {
+            match report.update {
+                EndpointUpdate::Failed => counts.failed += 1,
+                _ => counts.applied += 1,
+            }
+            self.apply_report(now, &report, actions);
+        }
+        counts
     }
 
-    fn update_entry(
-        &mut self, now: Micros, deployment: &DeploymentSettings, entry: &EndpointEntry,
-        update: EndpointUpdate,
-    ) {
-        let index = self.ids.intern(entry.id.to_string());
-        if self.records.len() <= index {
-            self.records.resize(index + 1, EndpointRecord::default());
+    fn apply_report(&mut self, now: Micros, report: &EndpointReport, actions: &mut RequestedActions) {
+        self.balancer.endpoint_update_started(now, report.update);
+        for endpoint in &report.endpoints {
+            self.balancer.endpoint_listed(now, endpoint);
+            let index = endpoint.node.0;
+            if self.endpoints.len() <= index {
+                self.endpoints.resize(index + 1, None);
+            }
+            self.endpoints[index] = Some(*endpoint);
+        }
+        self.balancer.endpoint_update_finished(now, actions);
+        if !report.endpoints.is_empty() {
+            let source = match report.update {
+                EndpointUpdate::Full => EndpointSource::Discovery,
+                _ => EndpointSource::Provisional,
+            };
+            self.source = self.source.max(source);
         }
-        let (zone, address) = (deployment.zone_index(entry.zone), entry.address.parse().ok());
-        self.unusable_entries += address.is_none() as u64;
-        let start = self.start_times.convert(now, entry.reported_start, self.records[index].start);
-        let replica_set = entry.replica_set;
-        self.records[index] = EndpointRecord { address, zone, replica_set, start: Some(start) };
-        let endpoint = Endpoint {
-            node: NodeId(index),
-            zone,
-            replica_set: entry.replica_set,
-            state: entry.state,
-            scale: entry.scale,
-            started_at: start.started_at(),
-        };
-        self.balancer.endpoint_listed(now, &endpoint);
-        let source = match update {
-            EndpointUpdate::Cached => EndpointSource::Cached,
-            _ => EndpointSource::Discovery,
-        };
-        self.source = self.source.max(source);
+    }
+
+    /// Returns whether proxies may be sent resources that are derived from the table. They may not before a list has
+    /// named a node, nor while the balancer waits for the full list: proxies may know a newer one.
+    pub fn is_usable(&self) -> bool {
+        self.source != EndpointSource::None && !self.balancer.awaits_endpoint_list()
     }
 
     /// Passes a load report on a node to the balancer.
@@ -172,24 +176,23 @@
     pub fn decide(&mut self, now: Micros, actions: &mut RequestedActions) {
         self.balancer.decide(now, actions);
         for node in std::mem::take(&mut actions.released_nodes) {
-            self.ids.release(node.0);
-            self.records[node.0] = EndpointRecord::default();
+            self.client.release(node);
+            self.endpoints[node.0] = None;
         }
     }
 
     /// Returns all nodes with a valid address that are not removed, ordered by ID.
     pub fn views(&self, now: Micros) -> Vec<EndpointView<'_>> {
         let mut views: Vec<EndpointView> =
-            (0..self.records.len()).filter_map(|index| self.view(now, NodeId(index))).collect();
+            (0..self.endpoints.len()).filter_map(|index| self.view(now, NodeId(index))).collect();
         views.sort_by(|a, b| a.id.cmp(b.id));
         views
     }
 
     fn view(&self, now: Micros, node: NodeId) -> Option<EndpointView<'_>> {
-        let record = self.records.get(node.0)?;
-        let (id, address) = (self.ids.key(node.0)?, record.address?);
+        let Endpoint { zone, replica_set, .. } = (*self.endpoints.get(node.0)?)?;
+        let (id, address) = (self.client.endpoint_id(node)?, self.client.endpoint_address(node)?);
         let health = self.balancer.endpoint_health(now, node);
-        let (zone, replica_set) = (record.zone, record.replica_set);
         let view = EndpointView { node, id, address, zone, replica_set, health };
         (health != EndpointHealth::Removed).then_some(view)
     }
@@ -201,18 +204,18 @@
 
     /// Returns the node with this address. Searches the table linearly.
     pub fn find(&self, address: &SocketAddr) -> Option<NodeId> {
-        self.records.iter().position(|record| record.address.as_ref() == Some(address)).map(NodeId)
+        self.addresses().find(|(other, _)| other == address).map(|(_, node)| node)
     }
 
     /// Returns all nodes with a valid address.
     pub fn addresses(&self) -> impl Iterator<Item = (SocketAddr, NodeId)> + '_ {
-        let addresses = self.records.iter().enumerate();
-        addresses.filter_map(|(index, record)| Some((record.address?, NodeId(index))))
+        let nodes = (0..self.endpoints.len()).map(NodeId);
+        nodes.filter_map(|node| Some((self.client.endpoint_address(node)?, node)))
     }
 
     /// Returns the number of nodes, including those without a valid address.
     pub fn count(&self) -> usize {
-        self.ids.count()
+        self.client.endpoint_count()
     }
 
     /// Returns the source of the nodes.
@@ -222,6 +225,6 @@
 
     /// Returns the number of entries so far that were skipped or had an invalid address.
     pub fn unusable_entries(&self) -> u64 {
-        self.unusable_entries
+        self.client.unusable_entries()
     }
 }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,7 +1,7 @@
 //! The control plane: distributes the balancer's decisions to third-party proxies through xDS v3, and feeds
 //! their load reports back to the balancer.
 //!
-//! 1. The control plane watches discovery (`discovery_watch`) and passes each endpoint list to the balancer
+//! 1. The control plane runs the router's client of discovery and passes each endpoint list to the balancer
 //!    (`endpoint_table`), as a router does.
 //! 2. The desired state (`desired_state`) is derived from the endpoint health that the balancer computes: the
 //!    nodes of each replica set, the number of requests that each may have in flight, and the fraction of
@@ -26,7 +26,6 @@
 mod control_plane;
 mod deployment_settings;
 mod desired_state;
-mod discovery_watch;
 mod drain_tracker;
 mod dump;
 mod encode;
@@ -50,6 +49,7 @@
 pub use ids::StreamId;
 pub use load_reports::{EndpointLoad, ProbeResult};
 pub use options::{Options, TlsFiles};
+pub use query_router::discovery::{Bytes, ConnectionId, DiscoveryEffect, DiscoveryEvent};
 pub use resource::{Resource, ResourceType};
 pub use server::{ServeError, run, runtime, serve};
 pub use session::{
--- a/crates/control-plane/src/server/driver.rs
+++ b/crates/control-plane/src/server/driver.rs
@@ -1,20 +1,21 @@
 //! The driver: owns the state machine, passes events to it and executes the effects that it returns.
 
 use super::clock::Clock;
+use super::discovery::{ConnectionMessage, DiscoveryConnections};
 use super::grpc::{OutgoingMessage, SHUTDOWN_MESSAGE, StreamHandle};
 use crate::codec;
 use crate::control_plane::{AuthorizedNames, ControlPlane, Effect, Service, StreamError};
-use crate::discovery_watch::EndpointListUpdate;
 use crate::ids::StreamId;
 use crate::load_reports::ProbeResult;
 use crate::options::Options;
 use query_router::config::Config;
+use query_router::discovery::DiscoveryEvent;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tonic::Status;
 use xds_api::pb::envoy::service::discovery::v3 as ads;
 use xds_api::pb::envoy::service::load_stats::v3 as lrs;
@@ -40,44 +41,57 @@
     control_plane: ControlPlane,
     clock: Clock,
     streams: HashMap<StreamId, StreamHandle>,
-    /// Notified when a watch of discovery should start.
-    watch_requested: Arc<Notify>,
+    discovery: DiscoveryConnections,
     events: mpsc::Sender<Event>,
     probe_permits: Arc<Semaphore>,
     probe_timeout: Duration,
 }
 
 impl Driver {
-    /// Creates a driver. The probes that it starts, at most `max_probes` at the same time, send their results to
-    /// `events`.
-    pub fn new(config: &Config, options: Options, events: mpsc::Sender<Event>, max_probes: usize) -> Driver {
+    /// Creates a driver and starts to watch discovery. The probes that it starts, at most `max_probes` at the same time,
+    /// send their results to `events`.
+    pub fn new(
+        config: &Config, options: Options, discovery: DiscoveryConnections, events: mpsc::Sender<Event>,
+        max_probes: usize,
+    ) -> Driver {
         let clock = Clock::new();
         let control_plane = ControlPlane::new(clock.now(), config, options);
-        Driver {
+        let mut driver = Driver {
             probe_timeout: control_plane.probe_timeout(),
             control_plane,
             clock,
             streams: HashMap::new(),
-            watch_requested: Arc::default(),
+            discovery,
             events,
             probe_permits: Arc::new(Semaphore::new(max_probes)),
-        }
+        };
+        driver.execute_effects();
+        driver
     }
 
-    /// Returns the notification that requests a watch of discovery.
-    pub fn watch_requested(&self) -> Arc<Notify> {
-        self.watch_requested.clone()
+    /// Handles a message of a connection to discovery.
+    pub fn discovery_message(&mut self, message: ConnectionMessage) {
+        let Some(event) = self.discovery.event(message) else { return };
+        self.control_plane.discovery_event(self.clock.now(), event);
+        self.execute_effects();
     }
 
-    /// Handles an endpoint update, which may have failed.
-    pub fn endpoint_update(&mut self, update: &EndpointListUpdate) {
-        self.control_plane.endpoint_update(self.clock.now(), &update.list, update.update);
+    /// Handles the timer of the client of discovery.
+    pub fn discovery_timer_expired(&mut self) {
+        self.control_plane.discovery_event(self.clock.now(), DiscoveryEvent::TimerExpired);
         self.execute_effects();
     }
 
-    /// Handles a change of discovery's address.
-    pub fn discovery_address_changed(&mut self) {
-        self.control_plane.discovery_address_changed(self.clock.now());
+    /// Returns the time until the timer of the client of discovery expires; `None` if it is not set.
+    pub fn time_to_discovery_timer(&self) -> Option<Duration> {
+        let at = self.control_plane.next_discovery_timer_at()?;
+        Some(Duration::from_micros((at - self.clock.now()).max(0) as u64))
+    }
+
+    /// Changes the address of discovery.
+    pub fn set_discovery_address(&mut self, address: SocketAddr) {
+        self.control_plane.set_discovery_address(self.clock.now(), address);
+        self.execute_effects();
     }
 
     /// Runs the periodic work of the state machine.
@@ -128,7 +142,7 @@
                 }
                 Effect::RequestLoadReports(stream) => self.send(stream, OutgoingMessage::LoadReportSettings),
                 Effect::CloseStream { stream, error } => self.close(stream, &error),
-                Effect::WatchEndpoints => self.watch_requested.notify_one(),
+                Effect::Discovery(effect) => self.discovery.execute(effect),
                 Effect::ProbeNode(address) => self.probe(address),
             }
         }
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -13,11 +13,10 @@
 pub use error::ServeError;
 
 use crate::control_plane::TICK_INTERVAL;
-use crate::discovery_watch::EndpointListUpdate;
 use crate::options::Options;
 use crate::tls::ReloadableTlsConfig;
 use connection_limit::{ConnectionLimit, DescriptorShares};
-use discovery::watch_discovery;
+use discovery::{ConnectionMessage, DiscoveryConnections};
 use driver::{Driver, Event};
 use grpc::GrpcServices;
 use http::HttpServer;
@@ -27,20 +26,19 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior};
 
 /// Maximum number of events queued for the driver.
 const MAX_QUEUED_EVENTS: usize = 1024;
-/// Maximum number of endpoint updates queued for the driver.
-const MAX_QUEUED_ENDPOINT_UPDATES: usize = 16;
 /// Maximum number of worker threads.
 const MAX_THREADS: usize = 4;
 
 /// The next action of the main task.
 enum Step {
     ShutDown,
-    EndpointUpdate(EndpointListUpdate),
+    DiscoveryMessage(ConnectionMessage),
+    DiscoveryTimer,
     Tick,
     Reload,
     Event(Event),
@@ -53,19 +51,21 @@
     interrupt: Signal,
     hangup: Signal,
     ticks: Interval,
-    endpoint_updates: mpsc::Receiver<EndpointListUpdate>,
+    discovery_messages: mpsc::Receiver<ConnectionMessage>,
     events: mpsc::Receiver<Event>,
 }
 
 impl Inputs {
-    /// Waits for the next action. Only a shutdown takes precedence over endpoint updates.
-    async fn next_step(&mut self) -> Step {
+    /// Waits for the next action, for the timer of discovery no longer than given. Only a shutdown takes precedence over
+    /// discovery.
+    async fn next_step(&mut self, time_to_discovery_timer: Option<Duration>) -> Step {
         tokio::select! {
             biased;
             _ = &mut self.stop => Step::ShutDown,
             _ = self.terminate.recv() => Step::ShutDown,
             _ = self.interrupt.recv() => Step::ShutDown,
-            Some(update) = self.endpoint_updates.recv() => Step::EndpointUpdate(update),
+            Some(message) = self.discovery_messages.recv() => Step::DiscoveryMessage(message),
+            () = wait_for_timer(time_to_discovery_timer) => Step::DiscoveryTimer,
             _ = self.ticks.tick() => Step::Tick,
             _ = self.hangup.recv() => Step::Reload,
             Some(event) = self.events.recv() => Step::Event(event),
@@ -78,28 +78,25 @@
     config: Config,
     /// Path of the configuration file; `None` if there is none, which disables reloading.
     path: Option<String>,
-    /// Sends a changed address of discovery to the task that watches it.
-    discovery: watch::Sender<SocketAddr>,
 }
 
 impl ReloadableConfig {
-    /// Reads the configuration again and applies the address of discovery; all other changes need a restart. Returns
-    /// whether the address is another one.
-    fn reload(&self) -> bool {
-        let Some(path) = &self.path else { return false };
+    /// Reads the configuration again. Returns the address of discovery in it; all other changes need a restart. Returns
+    /// `None` if the configuration can't be read.
+    fn reload(&self) -> Option<SocketAddr> {
+        let path = self.path.as_ref()?;
         let reloaded = match Config::read(path) {
             Ok(reloaded) => reloaded,
             Err(error) => {
                 tracing::warn!(%error, "configuration not reloaded");
-                return false;
+                return None;
             }
         };
         let settings = self.config.fields_needing_restart(&reloaded);
         if !settings.is_empty() {
             tracing::warn!(settings = settings.join(", "), "changed configuration fields require a restart");
         }
-        self.discovery
-            .send_if_modified(|address| std::mem::replace(address, reloaded.discovery) != reloaded.discovery)
+        Some(reloaded.discovery)
     }
 }
 
@@ -118,33 +115,32 @@
     let (events, event_queue) = mpsc::channel(MAX_QUEUED_EVENTS);
     let services = GrpcServices::new(events.clone(), options.lease, options.report_interval);
     let shares = DescriptorShares::of_process();
-    let mut driver = Driver::new(&config, options, events.clone(), shares.probes);
-    let (discovery, discovery_address) = watch::channel(config.discovery);
-    let (updates, endpoint_updates) = mpsc::channel(MAX_QUEUED_ENDPOINT_UPDATES);
-    tokio::spawn(watch_discovery(discovery_address, driver.watch_requested(), updates));
+    let (discovery, discovery_messages) = DiscoveryConnections::new();
+    let mut driver = Driver::new(&config, options, discovery, events.clone(), shares.probes);
     let server = HttpServer::start(listener, ConnectionLimit::new(shares.connections), tls, services, events);
     tracing::info!(name = %config.name, %address, "control plane started");
     // The caller may have dropped the receiver.
     let _ = ready.send(address);
 
-    let config = ReloadableConfig { config, path, discovery };
+    let config = ReloadableConfig { config, path };
     let mut inputs = Inputs {
         stop,
         ticks: ticks(),
         hangup: receive_signal(SignalKind::hangup())?,
         terminate: receive_signal(SignalKind::terminate())?,
         interrupt: receive_signal(SignalKind::interrupt())?,
-        endpoint_updates,
+        discovery_messages,
         events: event_queue,
     };
     loop {
-        match inputs.next_step().await {
+        match inputs.next_step(driver.time_to_discovery_timer()).await {
             Step::ShutDown => break,
-            Step::EndpointUpdate(update) => driver.endpoint_update(&update),
+            Step::DiscoveryMessage(message) => driver.discovery_message(message),
+            Step::DiscoveryTimer => driver.discovery_timer_expired(),
             Step::Tick => driver.tick(),
             Step::Reload => {
-                if config.reload() {
-                    driver.discovery_address_changed();
+                if let Some(address) = config.reload() {
+                    driver.set_discovery_address(address);
                 }
             }
             Step::Event(event) => driver.handle(event),
@@ -156,6 +152,14 @@
     Ok(())
 }
 
+/// Waits for this time, or for ever without one.
+async fn wait_for_timer(delay: Option<Duration>) {
+    match delay {
+        Some(delay) => tokio::time::sleep(delay).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn ticks() -> Interval {
     let mut ticks = tokio::time::interval(Duration::from_micros(TICK_INTERVAL as u64));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
--- a/crates/control-plane/tests/loopback/main.rs
+++ b/crates/control-plane/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control plane on loopback sockets, with a test discovery server and test proxies.
 
+mod discovery;
 mod flooding_proxies;
 mod running_server;
 #[path = "../support/mod.rs"]
--- a/crates/control-plane/tests/loopback/running_server.rs
+++ b/crates/control-plane/tests/loopback/running_server.rs
@@ -1,8 +1,10 @@
 //! A control plane that runs for a test, and its test discovery server and test proxies.
 
 use crate::support::{config, endpoint_entry, options};
+use balancer::{DiscoveryMode, Micros};
 use control_plane::{Options, ServeError};
 use query_router::config::Config;
+use serde_json::Value as Json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +16,9 @@
 /// Timeout of a request for the metrics.
 const METRICS_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time within which a control plane that polls discovery asks for the list.
+const POLL_WITHIN: Micros = 10_000_000;
+
 /// A control plane that runs until it is dropped or stopped.
 pub struct RunningServer {
     pub address: SocketAddr,
@@ -25,13 +30,22 @@
     /// Starts a control plane on a free port. `option_lines` are further lines of section `[control]`.
     pub async fn start(discovery: &Discovery, replica_sets: usize, option_lines: &str) -> RunningServer {
         let options = options(&format!("listen = 127.0.0.1:0\n{option_lines}"));
-        RunningServer::start_with_options(discovery.address, replica_sets, options).await
+        let config = config(replica_sets, replica_sets.min(2), Vec::new());
+        RunningServer::start_with_config(Config { discovery: discovery.address, ..config }, options).await
     }
 
-    async fn start_with_options(
-        discovery: SocketAddr, replica_sets: usize, options: Options,
+    /// Starts a control plane on a free port whose configuration has these cached endpoints.
+    pub async fn start_with_endpoints(
+        discovery: &Discovery, mode: DiscoveryMode, replica_sets: usize, endpoints: Vec<Json>,
     ) -> RunningServer {
-        let config = Config { discovery, ..config(replica_sets, replica_sets.min(2), Vec::new()) };
+        let mut config = config(replica_sets, replica_sets.min(2), endpoints);
+        config.discovery = discovery.address;
+        config.settings.discovery_mode = mode;
+        config.settings.rules.poll_within = POLL_WITHIN;
+        RunningServer::start_with_config(config, options("listen = 127.0.0.1:0")).await
+    }
+
+    async fn start_with_config(config: Config, options: Options) -> RunningServer {
         let (ready, address) = oneshot::channel();
         let (stop, stop_requested) = oneshot::channel();
         let task = tokio::spawn(control_plane::run(config, None, options, ready, stop_requested));
--- a/crates/control-plane/tests/machine/drains.rs
+++ b/crates/control-plane/tests/machine/drains.rs
@@ -109,7 +109,7 @@
     simulation.advance(SECOND);
     let before = simulation.response_count();
     for _ in 0..10 {
-        simulation.fail_endpoint_update();
+        simulation.fail_discovery();
         simulation.advance(SECOND);
     }
     assert_eq!(simulation.response_count(), before, "the last endpoint list stays in use");
--- a/crates/control-plane/tests/machine/main.rs
+++ b/crates/control-plane/tests/machine/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the control plane's state machine with simulated proxies, a simulated clock and injected faults.
 
 mod capacity;
+mod discovery;
+mod discovery_peer;
 mod drains;
 mod load_reports;
 mod random_faults;
--- a/crates/control-plane/tests/machine/random_faults.rs
+++ b/crates/control-plane/tests/machine/random_faults.rs
@@ -31,7 +31,7 @@
             }
             4 => simulation.disconnect(proxy),
             5 => simulation.proxies[proxy].disconnect_after = Some(random.usize(1..4)),
-            6 => simulation.fail_endpoint_update(),
+            6 => simulation.fail_discovery(),
             _ => simulation.send_full_list(),
         }
         for proxy in simulation.disconnected() {
--- a/crates/control-plane/tests/machine/reconnects.rs
+++ b/crates/control-plane/tests/machine/reconnects.rs
@@ -73,11 +73,12 @@
         // Discovery is unreachable at first, then sends an empty list, then the list from before the restart.
         let cached: Vec<Json> = vec![endpoint_entry(0, 4, "ready", 0)];
         let config = config(4, 2, cached);
-        let mut control_plane = ControlPlane::new(simulation.now, &config, options("expected = 12"));
-        control_plane.endpoint_update(simulation.now, &Json::Null, EndpointUpdate::Failed);
+        let control_plane = ControlPlane::new(simulation.now, &config, options("expected = 12"));
         simulation.replace_control_plane(control_plane);
-        simulation.advance(3 * SECOND);
-        assert!(simulation.watches > 0);
+        let requests_before = simulation.discovery.opened;
+        simulation.fail_discovery();
+        simulation.advance(12 * SECOND);
+        assert!(simulation.discovery.opened > requests_before);
         assert_eq!(
             simulation.response_count(),
             before,
--- a/crates/control-plane/tests/machine/simulation.rs
+++ b/crates/control-plane/tests/machine/simulation.rs
@@ -1,12 +1,14 @@
 //! A simulation of the control plane's state machine and its proxies on a simulated clock. Each response reaches its
 //! proxy after the latency of that proxy. Invariants are checked after each step.
 
+use crate::discovery_peer::DiscoveryPeer;
 use crate::support::{ZONES, address, config, endpoint_entry, node_id, options};
 use balancer::{EndpointUpdate, Micros};
 use control_plane::{
-    AuthorizedNames, ControlPlane, DeltaRequest, Effect, ProtocolVariant, ProxyNode, Resource, Response,
-    ResponseKind, Service, StateOfTheWorldRequest, StreamId, TICK_INTERVAL,
+    AuthorizedNames, ControlPlane, DeltaRequest, DiscoveryEvent, Effect, ProtocolVariant, ProxyNode,
+    Resource, Response, ResponseKind, Service, StateOfTheWorldRequest, StreamId, TICK_INTERVAL,
 };
+use query_router::config::Config;
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, VecDeque};
 use test_servers::{DiscoveryRequest, DiscoveryResponse, ReceivedResource, Script, XdsClient};
@@ -67,8 +69,10 @@
     replica_sets: usize,
     /// Entries of the endpoint list by node ID.
     pub entries: BTreeMap<String, Json>,
-    /// Number of watches of discovery that the control plane requested.
-    pub watches: usize,
+    /// Discovery, which answers nothing by itself.
+    pub discovery: DiscoveryPeer,
+    /// Revision of the last endpoint list or update.
+    revision: u64,
     last_stream_id: u64,
     /// Time of the last tick of the control plane.
     ticked_at: Micros,
@@ -88,36 +92,47 @@
         nodes: usize, replica_sets: usize, replica_sets_per_shard: usize, option_lines: &str,
     ) -> Simulation {
         let config = config(replica_sets, replica_sets_per_shard, Vec::new());
-        let entries =
-            (0..nodes).map(|node| (node_id(node), endpoint_entry(node, replica_sets, "ready", 0))).collect();
+        let mut simulation = Simulation::with_config(&config, replica_sets, option_lines);
+        let entry = |node| (node_id(node), endpoint_entry(node, replica_sets, "ready", 0));
+        simulation.entries = (0..nodes).map(entry).collect();
+        simulation.send_full_list();
+        simulation
+    }
+
+    /// Creates a control plane with this configuration, to which discovery has sent nothing, and no proxies.
+    pub fn with_config(config: &Config, replica_sets: usize, option_lines: &str) -> Simulation {
         let mut simulation = Simulation {
             now: START,
-            control_plane: ControlPlane::new(START, &config, options(option_lines)),
+            control_plane: ControlPlane::new(START, config, options(option_lines)),
             proxies: Vec::new(),
             replica_sets,
-            entries,
-            watches: 0,
+            entries: BTreeMap::new(),
+            discovery: DiscoveryPeer::default(),
+            revision: 1,
             last_stream_id: 0,
             ticked_at: START,
             peak_grants: BTreeMap::new(),
             drained_since: BTreeMap::new(),
             recent_capacities: BTreeMap::new(),
         };
-        simulation.send_full_list();
+        simulation.carry_out_effects();
         simulation
     }
 
     /// Passes the full endpoint list to the control plane.
     pub fn send_full_list(&mut self) {
         let members: Vec<&Json> = self.entries.values().collect();
-        let list = json!({"revision": 1, "complete": true, "members": members});
+        self.revision += 1;
+        let list = json!({"revision": self.revision, "complete": true, "members": members});
         self.control_plane.endpoint_update(self.now, &list, EndpointUpdate::Full);
         self.carry_out_effects();
     }
 
-    /// Reports to the control plane that discovery cannot be reached.
-    pub fn fail_endpoint_update(&mut self) {
-        self.control_plane.endpoint_update(self.now, &Json::Null, EndpointUpdate::Failed);
+    /// Ends the connections to discovery, as if it could not be reached.
+    pub fn fail_discovery(&mut self) {
+        for connection in self.discovery.connections() {
+            self.end_connection(connection);
+        }
     }
 
     /// Passes an incremental endpoint update to the control plane. Each change consists of the node, its state and its
@@ -137,7 +152,8 @@
                 _ => drop(self.entries.insert(node_id(node), entry.clone())),
             }
         }
-        let list = json!({"revision": 2, "complete": false, "members": entries});
+        self.revision += 1;
+        let list = json!({"revision": self.revision, "complete": false, "members": entries});
         self.control_plane.endpoint_update(self.now, &list, EndpointUpdate::Incremental);
         self.carry_out_effects();
     }
@@ -204,6 +220,8 @@
     /// Replaces the control plane without closing its streams first, and connects all proxies to the new one.
     pub fn replace_control_plane(&mut self, control_plane: ControlPlane) {
         self.control_plane = control_plane;
+        self.discovery = DiscoveryPeer::default();
+        self.carry_out_effects();
         for index in 0..self.proxies.len() {
             self.proxies[index].stream = None;
             self.connect(index);
@@ -225,7 +243,7 @@
         }
     }
 
-    fn carry_out_effects(&mut self) {
+    pub fn carry_out_effects(&mut self) {
         for effect in self.control_plane.take_effects() {
             match effect {
                 Effect::Respond { stream, response } => {
@@ -242,7 +260,7 @@
                         proxy.statuses.push(format!("{:?}: {error}", error.code()));
                     }
                 }
-                Effect::WatchEndpoints => self.watches += 1,
+                Effect::Discovery(effect) => self.discovery.carry_out(effect),
                 Effect::RequestLoadReports(_) | Effect::ProbeNode(_) => {}
             }
         }
@@ -259,12 +277,16 @@
             let deliveries = self.proxies.iter().filter_map(|proxy| proxy.in_transit.front());
             let next_arrival = deliveries.map(|delivery| delivery.arrives_at).min();
             let next_tick = self.ticked_at + TICK_INTERVAL;
-            let next = next_arrival.unwrap_or(Micros::MAX).min(next_tick);
+            let timer = self.control_plane.next_discovery_timer_at().unwrap_or(Micros::MAX);
+            let next = next_arrival.unwrap_or(Micros::MAX).min(next_tick).min(timer);
             if next > end {
                 break;
             }
             self.now = self.now.max(next);
-            if next_arrival.is_none_or(|arrival| arrival > next_tick) {
+            if timer == next && timer < next_tick {
+                self.control_plane.discovery_event(self.now, DiscoveryEvent::TimerExpired);
+                self.carry_out_effects();
+            } else if next_arrival.is_none_or(|arrival| arrival > next_tick) {
                 self.ticked_at = next_tick;
                 self.control_plane.tick(self.now);
                 self.carry_out_effects();
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Settings, endpoint entries and options that the tests and the example share.
 #![allow(dead_code, reason = "the tests and the example each use only some of the items")]
 
-use balancer::Micros;
+use balancer::{DiscoveryMode, Micros};
 use control_plane::Options;
 use operator_config::ConfigFile;
 use query_router::config::Config;
@@ -58,6 +58,17 @@
     Config::parse(&json.to_string()).expect("a valid configuration")
 }
 
+/// Returns a configuration like [`config`] with other values of `registryMode`, the drain grace and the seed.
+pub fn config_with(
+    mode: DiscoveryMode, drain_grace: Micros, seed: u64, replica_sets: usize, endpoints: Vec<Json>,
+) -> Config {
+    let mut config = Config { seed, ..config(replica_sets, 1, endpoints) };
+    config.settings.discovery_mode = mode;
+    config.settings.rules.drain_grace = drain_grace;
+    config.settings.rules.poll_within = 10_000_000;
+    config
+}
+
 /// Returns the options that these lines of section `[control]` set.
 pub fn options(lines: &str) -> Options {
     let mut file = ConfigFile::parse("test", &format!("[control]\n{lines}\n")).expect("a valid INI file");
--- a/crates/test-servers/src/discovery.rs
+++ b/crates/test-servers/src/discovery.rs
@@ -37,6 +37,12 @@
     failures_left: u64,
     /// How the bodies of watches are written.
     pace: WatchPace,
+    /// Whether messages of watches are written on several indented lines.
+    is_indented: bool,
+    /// Whether the next change ends the open watches instead of being sent on them.
+    ends_watches: bool,
+    /// The number of times that all open watches were ended.
+    watch_generation: u64,
     /// The number of requests received, including those that failed.
     requests: u64,
     /// The number of updates written to watches.
@@ -113,6 +119,9 @@
                 }
             }
             state.updates.push(Update { revision: state.revision, members: changed });
+            if std::mem::take(&mut state.ends_watches) {
+                state.watch_generation += 1;
+            }
         });
     }
 
@@ -140,6 +149,16 @@
         self.shared.modify(|state| state.pace = pace);
     }
 
+    /// Sets whether messages of watches are written on several indented lines.
+    pub fn set_indented(&self, is_indented: bool) {
+        self.shared.modify(|state| state.is_indented = is_indented);
+    }
+
+    /// Lets the open watches end at the next change instead of receiving it.
+    pub fn end_watches_at_next_change(&self) {
+        self.shared.modify(|state| state.ends_watches = true);
+    }
+
     /// Returns the number of updates written to watches.
     pub fn updates_sent(&self) -> u64 {
         self.shared.lock().updates_sent
--- a/crates/test-servers/src/discovery/connection.rs
+++ b/crates/test-servers/src/discovery/connection.rs
@@ -28,8 +28,9 @@
             "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
         );
     };
+    let generation = state.watch_generation;
     drop(state);
-    Watch { stream, shared, revision }.run()
+    Watch { stream, shared, revision, generation }.run()
 }
 
 /// Returns the revision after which a watch requests updates; `None` for a poll, which requests the full list. A
@@ -49,12 +50,19 @@
     format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
+/// Returns the text with each member, and each field of it, on a line of its own.
+fn indented(text: &str) -> String {
+    text.replace("[{", "[\n  {\n    ").replace("},{", "},\n  {\n    ").replace(",\"", ",\n    \"")
+}
+
 /// A watch, which receives each update as one line in its own chunk.
 struct Watch<'a> {
     stream: TcpStream,
     shared: &'a Shared,
     /// The latest revision that the client has; 0 if it has no list.
     revision: u64,
+    /// The generation of watches that this one belongs to; it ends with the generation.
+    generation: u64,
 }
 
 impl Watch<'_> {
@@ -86,17 +94,18 @@
     }
 
     /// Waits for updates that the client does not have. Returns an empty list if there is none within
-    /// [`HEARTBEAT_INTERVAL`], and `None` once the server is down.
+    /// [`HEARTBEAT_INTERVAL`], and `None` once the watch ends.
     fn next_updates(&self) -> Option<Vec<Update>> {
+        let has_ended = |state: &State| state.is_down || state.watch_generation != self.generation;
         let is_idle = |state: &mut State| {
-            !state.is_down && state.updates.last().is_none_or(|update| update.revision <= self.revision)
+            !has_ended(state) && state.updates.last().is_none_or(|update| update.revision <= self.revision)
         };
         let (state, _) = self
             .shared
             .changed
             .wait_timeout_while(self.shared.lock(), HEARTBEAT_INTERVAL, is_idle)
             .expect("the lock is not poisoned");
-        if state.is_down {
+        if has_ended(&state) {
             return None;
         }
         Some(state.updates.iter().filter(|update| update.revision > self.revision).cloned().collect())
@@ -111,7 +120,11 @@
     }
 
     fn write_chunk(&mut self, text: &str) -> io::Result<()> {
-        let pace = self.shared.lock().pace;
+        let (pace, is_indented) = {
+            let state = self.shared.lock();
+            (state.pace, state.is_indented)
+        };
+        let text = if is_indented { &indented(text) } else { text };
         let WatchPace::Pieces(length, pause) = pace else {
             return write!(self.stream, "{:x}\r\n{text}\r\n", text.len());
         };
