A restarted control plane sends proxies nothing from its last list before discovery answers

What callers saw: after a restart beside a discovery that refuses calls for 4 s, a proxy that names no versions got a node back that the former instance had told it to leave, and sent to it for up to 5 s.

Cause: the list of the configuration was given to the balancer as `Cached`, and a proxy that doesn't name a version counts as one without resources.

Change: that list is `Provisional` here in both modes of discovery. Until the full list has come, at longest for 9 s, nothing is derived from it; then proxies without versions get it, and those that named versions of an earlier instance keep what they have until discovery has sent the list. A dump shows the list of the configuration as before.

One older test asked for the cached list within 1 s of a start, which is the fault; it asks for none up to 8 s and for it by 10 s now.

--- a/crates/control-plane/src/control_plane/mod.rs
+++ b/crates/control-plane/src/control_plane/mod.rs
@@ -102,8 +102,8 @@
 }
 
 impl ControlPlane {
-    /// Creates a control plane with the cached endpoints of the configuration and no proxies, which starts to watch
-    /// discovery.
+    /// Creates a control plane without proxies, which starts to watch discovery. The cached endpoints of the configuration
+    /// are provisional: proxies may know a newer list.
     pub fn new(now: Micros, config: &Config, options: Options) -> ControlPlane {
         let deployment = DeploymentSettings::new(config);
         let mut control_plane = ControlPlane {
@@ -126,7 +126,7 @@
             metrics: Metrics::new(),
             effects: Vec::new(),
         };
-        control_plane.endpoint_update(now, &config.cached_endpoints, EndpointUpdate::Cached);
+        control_plane.endpoint_update(now, &config.cached_endpoints, EndpointUpdate::Provisional);
         control_plane.warn_of_unsupported_classes();
         control_plane
     }
--- a/crates/control-plane/tests/machine/discovery.rs
+++ b/crates/control-plane/tests/machine/discovery.rs
@@ -289,12 +289,15 @@
     assert!(!simulation.discovery.is_open(watch));
 }
 
-/// Guards against revisions of a former address of discovery: the full list is requested at the new one, at once.
+/// Guards against revisions of a former address of discovery: the full list is requested at the new one, at once, whether
+/// or not a watch was open.
 #[test]
 fn a_reload_with_another_address_requests_the_full_list_there() {
-    for mode in MODES {
+    for (mode, is_open) in MODES.into_iter().flat_map(|mode| [(mode, true), (mode, false)]) {
         let mut simulation = simulation_with_list(mode, DRAIN_GRACE, 1);
-        let former = simulation.newest_connection();
+        if !is_open {
+            simulation.end_connection(simulation.newest_connection());
+        }
         for port in [2, 3] {
             simulation.control_plane.set_discovery_address(simulation.now, ([127, 0, 0, 1], port).into());
             simulation.carry_out_effects();
@@ -309,6 +312,6 @@
         let opened = simulation.discovery.opened;
         simulation.control_plane.set_discovery_address(simulation.now, ([127, 0, 0, 1], 3).into());
         simulation.carry_out_effects();
-        assert_eq!((simulation.discovery.opened, simulation.discovery.is_open(former)), (opened, true));
+        assert_eq!((simulation.discovery.opened, simulation.discovery.is_open(watch)), (opened, true));
     }
 }
--- a/crates/control-plane/tests/machine/main.rs
+++ b/crates/control-plane/tests/machine/main.rs
@@ -9,6 +9,7 @@
 mod reconnects;
 mod requests;
 mod responses;
+mod restarts;
 mod simulation;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/control-plane/tests/machine/reconnects.rs
+++ b/crates/control-plane/tests/machine/reconnects.rs
@@ -104,13 +104,16 @@
 }
 
 #[test]
-fn without_discovery_a_new_proxy_gets_the_cached_endpoints() {
+fn without_discovery_a_new_proxy_gets_the_cached_endpoints_after_a_while() {
     let cached: Vec<Json> = (0..8).map(|node| endpoint_entry(node, 4, "ready", 0)).collect();
     let mut simulation = Simulation::new(8, 4, 1, "");
     let control_plane = ControlPlane::new(START, &config(4, 1, cached), options(""));
     simulation.replace_control_plane(control_plane);
     let proxy = simulation.add_proxy(true, 0);
-    simulation.advance(SECOND);
+    // Until then the list may be older than what proxies have learned from a predecessor of this control plane.
+    simulation.advance(8 * SECOND);
+    assert_eq!((simulation.response_count(), simulation.proxies_using(7)), (0, 0));
+    simulation.advance(2 * SECOND);
     assert!(simulation.proxies[proxy].xds_client.view.is_complete() && simulation.proxies_using(7) == 1);
 }
 
