Soak: a router comes back with its last list while discovery is overloaded

Where lists are pushed, a router that is started gets the list that discovery had sent it last, not the current one, and a change that discovery knew before a process started counts as told once that process is ready. Starts no longer hold up the schedule.

--- a/crates/soak/src/checker/nodes.rs
+++ b/crates/soak/src/checker/nodes.rs
@@ -8,6 +8,7 @@
     MEAN_SERVICE_TIME_MS, WARM_UP_MS,
 };
 use crate::discovery::DiscoveryMode;
+use crate::router_process::RouterEvent;
 use std::collections::BTreeMap;
 
 /// How long after discovery became reachable a change counts as delivered at the latest.
@@ -18,13 +19,37 @@
 
 impl Checker<'_> {
     /// Returns from which time a change counts as delivered to a router: when discovery sent it, or after
-    /// [`DELIVERY_TIMEOUT`] of reachable discovery, or [`DELIVERY_TIMEOUT_AFTER_RELOAD`] after a reload, whichever is
-    /// earliest.
+    /// [`DELIVERY_TIMEOUT`] of reachable discovery, or [`DELIVERY_TIMEOUT_AFTER_RELOAD`] after a reload, or, where lists
+    /// are pushed, when a process of the router that started after it is ready, whichever is earliest.
     fn delivered_at(&self, router: usize, change: &EndpointChange) -> Option<Micros> {
         let delivered = self.cluster.discovery.sent_at(router, change.revision);
         let reachable = self.reachable_from(change.at, DELIVERY_TIMEOUT).map(|from| from + DELIVERY_TIMEOUT);
         let reloaded = self.reload_after(router, change.at).map(|at| at + DELIVERY_TIMEOUT_AFTER_RELOAD);
-        delivered.into_iter().chain(reachable).chain(reloaded).min()
+        let started = self.ready_after(router, change.at);
+        delivered.into_iter().chain(reachable).chain(reloaded).chain(started).min()
+    }
+
+    /// Returns when the first process of a router that was started after the platform's agent had learned of a change was
+    /// ready, if lists are pushed: what the agent has counts as delivered from the first moment of a process.
+    fn ready_after(&self, router: usize, changed_at: Micros) -> Option<Micros> {
+        if !self.cluster.is_pushed {
+            return None;
+        }
+        let learned_at = self.agent_learned_at(changed_at)?;
+        let events = &self.cluster.routers[router].events;
+        let start =
+            events.iter().position(|&(at, event)| event == RouterEvent::Started && at >= learned_at)?;
+        events[start..].iter().find(|(_, event)| *event == RouterEvent::Ready).map(|(at, _)| *at)
+    }
+
+    /// Returns when the platform's agent has learned of a change that was published at this time.
+    fn agent_learned_at(&self, published_at: Micros) -> Option<Micros> {
+        let modes = &self.cluster.discovery_modes;
+        let (_, mode) = modes.iter().rfind(|(at, _)| *at <= published_at)?;
+        if mode.agent_learns() {
+            return Some(published_at);
+        }
+        modes.iter().find(|(at, mode)| *at > published_at && mode.agent_learns()).map(|(at, _)| *at)
     }
 
     /// Returns the first time, not before `since`, from which discovery was reachable for `span`.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -115,7 +115,7 @@
     /// Index of the address of discovery that each router currently uses.
     current_address: Vec<usize>,
     /// Whether routers watch discovery; otherwise they poll it.
-    is_pushed: bool,
+    pub is_pushed: bool,
     seed: u64,
     folder: PathBuf,
 }
@@ -154,7 +154,8 @@
         for index in 0..size.routers {
             let router = RouterProcess::new(index, program, &cluster.folder, seed);
             cluster.routers.push(router);
-            cluster.start_router(index);
+            cluster.routers[index].write_config(&cluster.config(index));
+            cluster.routers[index].start();
             cluster.add_clients(index);
         }
         cluster.start_idle_connections();
@@ -191,15 +192,25 @@
         let discovery = self.discovery_addresses[router][self.current_address[router]];
         let seed = self.seed * 31 + router as u64 + self.published.len() as u64;
         let listen = self.routers[router].address;
-        let known = self.discovery.list();
+        // A router comes back with its last list. Where lists are polled, the pages let it use that for a while, so there
+        // it is the current one.
+        let known = if self.is_pushed { self.discovery.list_sent_to(router) } else { self.discovery.list() };
         router_config(router, self.size.routers, listen, discovery, self.is_pushed, &known, seed)
     }
 
-    /// Starts a router's process and allows its clients to connect.
+    /// Starts a router's process. Its clients may connect once it is ready.
     pub fn start_router(&mut self, router: usize) {
         self.routers[router].write_config(&self.config(router));
-        self.routers[router].start();
-        self.send_to_clients(router, "open");
+        self.routers[router].spawn();
+    }
+
+    /// Lets the clients of routers that have become ready connect.
+    pub fn admit_clients_of_ready_routers(&mut self) {
+        for router in 0..self.routers.len() {
+            if self.routers[router].check_ready() {
+                self.send_to_clients(router, "open");
+            }
+        }
     }
 
     /// Sends a command to the clients of a router: `open` or `closed`.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -16,6 +16,8 @@
 
 /// Number of bytes of a watch's message that discovery sends at a time while it is [`DiscoveryMode::Trickling`].
 const TRICKLE_BYTES: usize = 60;
+/// How long a request waits before it fails while discovery is [`DiscoveryMode::Overloaded`].
+const OVERLOADED_WAIT_MS: u64 = 1000;
 /// Pause after each of these pieces.
 const TRICKLE_PAUSE_MS: u64 = 300;
 
@@ -33,6 +35,8 @@
     Slow,
     /// Every other request gets status 503; open watches go on as normal.
     Crowded,
+    /// Every new request waits and then gets status 503; open watches go on as normal.
+    Overloaded,
     /// Messages of watches arrive in small pieces.
     Trickling,
 }
@@ -45,9 +49,14 @@
             | DiscoveryMode::Slow
             | DiscoveryMode::Crowded
             | DiscoveryMode::Trickling => true,
-            DiscoveryMode::Down | DiscoveryMode::Silent => false,
+            DiscoveryMode::Down | DiscoveryMode::Silent | DiscoveryMode::Overloaded => false,
         }
     }
+
+    /// Returns whether the platform's agent learns of changes, which then count as delivered to a router that starts.
+    pub fn agent_learns(self) -> bool {
+        self != DiscoveryMode::Down
+    }
 }
 
 #[derive(Default)]
@@ -131,6 +140,16 @@
         full_list(&self.lock())
     }
 
+    /// Returns the full endpoint list as it was sent last to a router; the current one if none was sent.
+    pub fn list_sent_to(&self, router: usize) -> Json {
+        let state = self.lock();
+        let sent = state.sent.range((router, 0)..=(router, u64::MAX)).next_back();
+        match sent {
+            Some((&(_, revision), _)) => list_at(&state, revision),
+            None => full_list(&state),
+        }
+    }
+
     /// Returns when discovery first sent this or a later revision to a router, if it did.
     pub fn sent_at(&self, router: usize, revision: u64) -> Option<Micros> {
         let state = self.lock();
@@ -169,6 +188,14 @@
                 return Ok(());
             }
             DiscoveryMode::Slow => sleep_ms(700),
+            DiscoveryMode::Overloaded => {
+                sleep_ms(OVERLOADED_WAIT_MS);
+                if self.lock().mode == DiscoveryMode::Overloaded {
+                    let response =
+                        "HTTP/1.1 503 Too many callers\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                    return stream.write_all(response.as_bytes());
+                }
+            }
             DiscoveryMode::Normal | DiscoveryMode::Crowded | DiscoveryMode::Trickling => {}
         }
         if line.contains("watch=1") {
@@ -222,6 +249,7 @@
                 DiscoveryMode::Slow
                 | DiscoveryMode::Normal
                 | DiscoveryMode::Crowded
+                | DiscoveryMode::Overloaded
                 | DiscoveryMode::Trickling => {}
             }
             if let Some(message) = message {
@@ -259,6 +287,20 @@
     format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":{members}}}\n")
 }
 
+/// Returns the full endpoint list at a revision.
+fn list_at(state: &State, revision: u64) -> Json {
+    let mut members: BTreeMap<usize, &Json> = BTreeMap::new();
+    for (_, node, entry) in state.changes.iter().filter(|(at, _, _)| *at <= revision) {
+        if entry["phase"] == "gone" {
+            members.remove(node);
+        } else {
+            members.insert(*node, entry);
+        }
+    }
+    let members: Vec<&Json> = members.into_values().collect();
+    json!({"revision": revision, "complete": true, "members": members})
+}
+
 fn full_list(state: &State) -> Json {
     let members: Vec<&Json> = state.members.values().collect();
     json!({"revision": state.revision, "complete": true, "members": members})
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -15,6 +15,9 @@
 /// Timeout for a router to become ready.
 const READY_TIMEOUT: Micros = 10 * SECOND;
 
+/// Interval at which a process that starts is asked whether it is ready.
+const READY_CHECK_INTERVAL_MS: u64 = 10;
+
 /// Ports on which routers listen, below the ephemeral ports of Linux.
 const ROUTER_PORTS: Range<u16> = 12_000..32_000;
 /// Number of ports that are tried before the test fails.
@@ -71,6 +74,8 @@
     control_path: PathBuf,
     operator_path: PathBuf,
     child: Option<Child>,
+    /// Time of the start of a process that is not known to be ready yet; `None` without such a process.
+    starting_since: Option<Micros>,
     terminated: bool,
     /// Number of processes that were started so far.
     generation: usize,
@@ -97,6 +102,7 @@
             control_path,
             operator_path,
             child: None,
+            starting_since: None,
             terminated: false,
             generation: 0,
         }
@@ -115,6 +121,15 @@
 
     /// Starts a process and waits until it is ready.
     pub fn start(&mut self) {
+        self.spawn();
+        while self.starting_since.is_some() {
+            self.check_ready();
+            sleep_ms(READY_CHECK_INTERVAL_MS);
+        }
+    }
+
+    /// Starts a process without waiting until it is ready.
+    pub fn spawn(&mut self) {
         self.record_event(RouterEvent::Started);
         let mut command = if self.has_fault_shim {
             fault_control::command(&self.program, &self.control_path)
@@ -138,14 +153,22 @@
         self.child = Some(child);
         self.terminated = false;
         self.generation += 1;
-        let started = now();
-        while now() - started < READY_TIMEOUT {
-            if self.is_ready() {
-                return self.record_event(RouterEvent::Ready);
-            }
-            sleep_ms(10);
+        self.starting_since = Some(now());
+    }
+
+    /// Asks a process that was started whether it is ready. Returns true when it has become so; later calls return false.
+    pub fn check_ready(&mut self) -> bool {
+        let Some(since) = self.starting_since else { return false };
+        let is_ready = self.is_ready();
+        if is_ready {
+            self.record_event(RouterEvent::Ready);
+        } else if now() - since >= READY_TIMEOUT {
+            self.record_event(RouterEvent::NotReady);
+        } else {
+            return false;
         }
-        self.record_event(RouterEvent::NotReady);
+        self.starting_since = None;
+        is_ready
     }
 
     fn is_ready(&self) -> bool {
@@ -219,6 +242,7 @@
     pub fn terminate(&mut self) {
         if self.child.is_some() && !self.terminated {
             self.terminated = true;
+            self.starting_since = None;
             self.record_event(RouterEvent::Terminated);
         }
         if self.terminated {
@@ -228,6 +252,7 @@
 
     /// Kills the process, if there is one.
     pub fn kill(&mut self) {
+        self.starting_since = None;
         if let Some(mut child) = self.child.take() {
             // The event comes first, since clients see their connections closed before the wait returns.
             self.record_event(RouterEvent::Killed);
@@ -241,6 +266,7 @@
         let Some(child) = &mut self.child else { return false };
         let Ok(Some(status)) = child.try_wait() else { return true };
         self.child = None;
+        self.starting_since = None;
         let is_expected = self.terminated && status.success();
         self.record_event(if is_expected { RouterEvent::Exited } else { RouterEvent::Crashed });
         false
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -85,6 +85,7 @@
         let mut schedule = Schedule::new(seed);
         let started = now();
         schedule.add_crowd(&cluster, seed);
+        schedule.add_restart(&cluster, seed);
         let mut next_disruption_at = started + SECOND;
         let mut next_flood_at = started + SECOND;
         let mut next_sample_at = started;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -43,6 +43,22 @@
 const CROWD_DRAIN_MS: i64 = 2500;
 const CROWD_REMOVE_MS: i64 = 3500;
 const CROWD_END_MS: i64 = 12_000;
+/// In the run of every seed with this remainder of division by [`CROWD_SEEDS`], a router is killed, two nodes drain and
+/// are removed while it is away, and discovery is overloaded when it comes back. Its seeds are even: lists are pushed.
+const RESTART_SEED: u64 = 2;
+/// Distinguishes the random numbers of these restarts from those of other disruptions.
+const RESTART_RANDOM_SEED: u64 = 0x0005_7a27;
+/// Times after the start of the run: the router is killed, the nodes drain and are removed, discovery is overloaded, the
+/// router is started, and its clients, some of which come before it is ready, are let in; discovery has recovered, and
+/// the nodes are back.
+const RESTART_KILL_MS: i64 = 1500;
+const RESTART_DRAIN_MS: i64 = 2000;
+const RESTART_REMOVE_MS: i64 = 2400;
+const RESTART_OVERLOAD_MS: i64 = 2800;
+const RESTART_START_MS: i64 = 3000;
+const RESTART_OPEN_MS: i64 = 3100;
+const RESTART_RECOVERY_MS: i64 = 7000;
+const RESTART_READY_MS: i64 = 9000;
 /// How long a system call or a router's process is delayed.
 const DELAY_MS: u64 = 80;
 
@@ -62,6 +78,8 @@
     StopNewConnections(usize),
     KillRouter(usize),
     StartRouter(usize),
+    /// Lets the clients of a router connect although it may not be ready.
+    OpenClients(usize),
     Reload(usize),
     ReloadHalfConfig(usize),
     CompleteConfig(usize),
@@ -101,6 +119,8 @@
     flood_rng: Rng,
     /// The number of floods so far; the kinds come in turn.
     floods: usize,
+    /// Time before which no disruption of discovery is drawn, since a planned one is in progress.
+    discovery_planned_until: Micros,
     actions: Vec<(Micros, Action)>,
     /// Actions that were carried out, with their times.
     pub history: Vec<(Micros, String)>,
@@ -114,6 +134,7 @@
             rng: Rng::with_seed(seed),
             flood_rng,
             floods: seed as usize,
+            discovery_planned_until: 0,
             actions: Vec::new(),
             history: Vec::new(),
         }
@@ -142,6 +163,7 @@
             self.history.push((now(), format!("{action:?}")));
             self.apply(cluster, action);
         }
+        cluster.admit_clients_of_ready_routers();
         for router in 0..cluster.routers.len() {
             let last_event = cluster.routers[router].events.last().map(|last| last.1);
             let is_gone = !cluster.routers[router].check_running();
@@ -176,6 +198,7 @@
                     cluster.start_router(router);
                 }
             }
+            Action::OpenClients(router) => cluster.send_to_clients(router, "open"),
             Action::Reload(router) => cluster.reload_router(router),
             Action::ReloadHalfConfig(router) => cluster.reload_half_config(router),
             Action::CompleteConfig(router) => cluster.complete_config(router),
@@ -248,6 +271,28 @@
         self.schedule_after(CROWD_END_MS, Action::PublishReady(node));
     }
 
+    /// Schedules the restart beside an overloaded discovery of the run with this seed, if it has one.
+    pub fn add_restart(&mut self, cluster: &Cluster, seed: u64) {
+        if seed % CROWD_SEEDS != RESTART_SEED {
+            return;
+        }
+        let mut rng = Rng::with_seed(seed ^ RESTART_RANDOM_SEED);
+        let router = rng.usize(..cluster.routers.len());
+        let first = rng.usize(..cluster.nodes.len());
+        let nodes = [first, (first + 1) % cluster.nodes.len()];
+        self.schedule_after(RESTART_KILL_MS, Action::KillRouter(router));
+        for node in nodes {
+            self.schedule_after(RESTART_DRAIN_MS, Action::Drain(node));
+            self.schedule_after(RESTART_REMOVE_MS, Action::Remove(node));
+            self.schedule_after(RESTART_READY_MS, Action::PublishReady(node));
+        }
+        self.schedule_after(RESTART_OVERLOAD_MS, Action::SetDiscoveryMode(DiscoveryMode::Overloaded));
+        self.schedule_after(RESTART_START_MS, Action::StartRouter(router));
+        self.schedule_after(RESTART_OPEN_MS, Action::OpenClients(router));
+        self.schedule_after(RESTART_RECOVERY_MS, Action::SetDiscoveryMode(DiscoveryMode::Normal));
+        self.discovery_planned_until = now() + RESTART_RECOVERY_MS * MILLISECOND;
+    }
+
     /// Draws a disruption and schedules its actions.
     pub fn add_disruption(&mut self, cluster: &Cluster) {
         let duration = self.rng.i64(800..3000);
@@ -313,6 +358,7 @@
         ];
         match self.rng.usize(0..=modes.len()) {
             0 => self.schedule_after(0, Action::ResetWatches),
+            _ if now() < self.discovery_planned_until => {}
             mode => {
                 let mode = modes[mode - 1];
                 self.schedule_after(0, Action::SetDiscoveryMode(mode));
