--- a/crates/control-plane/src/server/connection_limit.rs
+++ b/crates/control-plane/src/server/connection_limit.rs
@@ -1,7 +1,7 @@
 //! The limit on connections. File descriptors are kept free for discovery, the configuration, certificates and probes,
 //! and connections on which no stream was opened give way to new ones.
 
-use rustix::process::{Resource, getrlimit};
+use query_router::descriptor_limit;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,8 +30,7 @@
 impl DescriptorShares {
     /// Divides the limit on file descriptors of this process.
     pub fn of_process() -> DescriptorShares {
-        let limit = getrlimit(Resource::Nofile).current;
-        DescriptorShares::of_limit(limit.map_or(usize::MAX, |limit| limit as usize))
+        DescriptorShares::of_limit(descriptor_limit())
     }
 
     fn of_limit(limit: usize) -> DescriptorShares {
--- a/crates/query-router/src/event_loop/mod.rs
+++ b/crates/query-router/src/event_loop/mod.rs
@@ -72,7 +72,7 @@
 }
 
 /// Returns the limit of the system on the file descriptors of this process; [`usize::MAX`] if there is none.
-fn descriptor_limit() -> usize {
+pub fn descriptor_limit() -> usize {
     getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize)
 }
 
--- a/crates/query-router/src/lib.rs
+++ b/crates/query-router/src/lib.rs
@@ -17,5 +17,7 @@
 mod protocol;
 mod router;
 
-pub use event_loop::{ServeError, SignalSource, block_signals, read_config, retry_at_start, serve};
+pub use event_loop::{
+    ServeError, SignalSource, block_signals, descriptor_limit, read_config, retry_at_start, serve,
+};
 pub use log_output::LogOutput;
