Tidy: a failed update that is loaded counts as a failure, not as an empty list

No caller does that; the interface of the client allowed it. The kinds of update that list all endpoints are named where the balancer removes the others.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -97,7 +97,7 @@
         if update == EndpointUpdate::Full {
             self.replace_provisional_list(now, actions);
         }
-        if update != EndpointUpdate::Failed && update != EndpointUpdate::Incremental {
+        if matches!(update, EndpointUpdate::Full | EndpointUpdate::Cached | EndpointUpdate::Provisional) {
             self.nodes.remove_unlisted(self.discovery.update_number);
         }
         self.shards.rebuild(&self.nodes);
--- a/crates/query-router/src/router/discovery/report.rs
+++ b/crates/query-router/src/router/discovery/report.rs
@@ -57,7 +57,10 @@
 
     /// Loads a list that came on no connection, such as the one from before the start.
     pub fn load(&mut self, list: EndpointList) {
-        self.pending.push_back(PendingReport::LoadedList(list));
+        self.pending.push_back(match list.update {
+            EndpointUpdate::Failed => PendingReport::Failure,
+            _ => PendingReport::LoadedList(list),
+        });
     }
 
     /// Returns whether there are reports that are not due to an event of a connection.
