--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -18,6 +18,9 @@
 /// Interval at which a process that starts is asked whether it is ready.
 const READY_CHECK_INTERVAL_MS: u64 = 10;
 
+/// Age of a process at which its use of resources is measured first.
+const FIRST_USAGE_SAMPLE_AGE: Micros = 100 * MILLISECOND;
+
 /// Ports on which routers listen, below the ephemeral ports of Linux.
 const ROUTER_PORTS: Range<u16> = 12_000..32_000;
 /// Number of ports that are tried before the test fails.
@@ -203,8 +206,12 @@
             .expect("write the operator's file");
     }
 
-    /// Measures the resources that the process uses and updates their peak.
+    /// Measures the resources that the process uses and updates their peak. A process that has just been started still
+    /// has the descriptors of this one until the system has closed them.
     pub fn sample_usage(&mut self) {
+        if self.starting_since.is_some_and(|since| now() - since < FIRST_USAGE_SAMPLE_AGE) {
+            return;
+        }
         let Usage { descriptors, kibibytes } = self.usage();
         self.peak.descriptors = self.peak.descriptors.max(descriptors);
         self.peak.kibibytes = self.peak.kibibytes.max(kibibytes);
