--- a/crates/query-router/src/router/discovery/store.rs
+++ b/crates/query-router/src/router/discovery/store.rs
@@ -125,8 +125,8 @@
     }
 }
 
-/// Handles an entry that cannot be used as it is, or for which the table has no room. If it takes away a node that is listed, it does so; otherwise it is
-/// skipped.
+/// Handles an entry that cannot be used as it is, or for which the table has no room. If it takes away a node that is
+/// listed, it does so; otherwise it is skipped.
 fn store_invalid_entry(context: &mut Context, member: &Json) -> Option<Endpoint> {
     let state = member["phase"].as_str().and_then(endpoint_state);
     let state = state.filter(|state| *state != EndpointState::Ready);
--- a/crates/query-router/src/router/mod.rs
+++ b/crates/query-router/src/router/mod.rs
@@ -4,7 +4,8 @@
 //! This module dispatches events to the components and passes their results to the balancer. A component uses neither
 //! the balancer nor any component above it. From the bottom:
 //!
-//! - `connection_kind`, `timers`, `shutdown`, `read_wait`, `executed_ids`, `log_limit`, `endpoints` and `connection`: state without effects
+//! - `connection_kind`, `timers`, `shutdown`, `read_wait`, `executed_ids`, `log_limit`, `endpoints` and `connection`:
+//!   state without effects
 //! - `rules`: preconditions of actions
 //! - `descriptor_shares`: who may take how many file descriptors
 //! - `context`: the state that all components share
